--- a/source/common/config/token_node_settings.cc
+++ b/source/common/config/token_node_settings.cc
@@ -30,9 +30,12 @@
     }
     value = *found;
   }
-  void endpoint(const char* key, Endpoint& value) {
+  void endpoint(const char* key, Endpoint& value, bool required = true) {
     std::string words;
-    text(key, words, true);
+    text(key, words, required);
+    if (words.empty() && !required) {
+      return;
+    }
     const auto found = parseEndpoint(words);
     if (!found) {
       fail(SettingsErrorCode::kWrongType, key, 0, "\"a.b.c.d:port\"");
@@ -99,6 +102,9 @@
     reader.endpoint("data", settings.data);
     reader.endpoint("readiness", settings.readiness);
     reader.text("readiness_path", settings.readinessPath, false);
+    reader.endpoint("metrics", settings.metrics, false);
+    reader.text("metrics_path", settings.metricsPath, false);
+    reader.text("request_header", settings.requestHeader, false);
     reader.endpoint("store", settings.store);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kLongestFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kLongestLingerMilliseconds);
@@ -113,6 +119,30 @@
   }
 }
 
+std::vector<SettingChange> settingChanges(const TokenNodeSettings& before,
+                                          const TokenNodeSettings& after) {
+  std::vector<SettingChange> changes;
+  const auto compare = [&](const char* key, auto member, bool whileRunning) {
+    if (before.*member != after.*member) {
+      changes.push_back({key, whileRunning});
+    }
+  };
+  using S = TokenNodeSettings;
+  compare("node", &S::node, false);
+  compare("region", &S::region, false);
+  compare("zone", &S::zone, false);
+  compare("data", &S::data, false);
+  compare("readiness", &S::readiness, false);
+  compare("readiness_path", &S::readinessPath, false);
+  compare("metrics", &S::metrics, false);
+  compare("metrics_path", &S::metricsPath, false);
+  compare("request_header", &S::requestHeader, true);
+  compare("store", &S::store, false);
+  compare("flow_life_seconds", &S::flowLifeSeconds, true);
+  compare("linger_milliseconds", &S::lingerMilliseconds, true);
+  return changes;
+}
+
 Result<TokenNodeSettings, SettingsError> loadTokenNodeSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
--- a/source/common/config/token_node_settings.h
+++ b/source/common/config/token_node_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
@@ -22,6 +23,11 @@
   /** Where GET <readinessPath> is answered. */
   Endpoint readiness;
   std::string readinessPath = "/readyz";
+  /** Where GET <metricsPath> is answered; port 0 where the settings give none. */
+  Endpoint metrics;
+  std::string metricsPath = "/metrics";
+  /** Header of callers' requests that names a request in the log; empty: none. */
+  std::string requestHeader;
   /** The platform's store. */
   Endpoint store;
   /** No flow lives longer, seconds. */
@@ -30,6 +36,19 @@
   uint32_t lingerMilliseconds = 2500;
 };
 
+/** A key whose value differs between two settings. */
+struct SettingChange {
+  std::string key;
+  /** Whether a running node takes the new value; otherwise it holds from the next start on. */
+  bool whileRunning = false;
+
+  bool operator==(const SettingChange&) const = default;
+};
+
+/** @return the keys that differ, in the order of docs/SETTINGS.md. */
+std::vector<SettingChange> settingChanges(const TokenNodeSettings& before,
+                                          const TokenNodeSettings& after);
+
 Result<TokenNodeSettings, SettingsError> parseTokenNodeSettings(std::string_view text);
 Result<TokenNodeSettings, SettingsError> loadTokenNodeSettings(const std::string& path);
 
--- /dev/null
+++ b/source/common/flow/flow_director.cc
@@ -0,0 +1,19 @@
+#include "common/flow/flow_director.h"
+
+namespace umberhold {
+
+std::string_view toString(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNoHost:
+      return "no_host";
+    case RefusalReason::kHostEnded:
+      return "host_ended";
+    case RefusalReason::kUnknownService:
+      return "unknown_service";
+    case RefusalReason::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+}  // namespace umberhold
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "common/base/endpoint.h"
@@ -35,6 +36,38 @@
   uint32_t token = 0;
 };
 
+/** A host's names, for people; valid until the director's next change of hosts. */
+struct HostLabel {
+  std::string_view name;
+  std::string_view pool;
+};
+
+/**
+ * What decided where a new flow went, for logs and metrics. Valid until the director's next
+ * decision or change.
+ */
+struct PlacementEvidence {
+  std::string_view service;
+  /** The host is in this node's zone. */
+  bool ownZone = false;
+  /** This flow was to leave the node's zone, because the zone has few of the hosts. */
+  bool leavesZone = false;
+  /** The host left several openings unanswered of late, and no better one was there. */
+  bool silent = false;
+  /** The host's registration has vanished, and no better one was there. */
+  bool vanished = false;
+  /** This opening is a repeat; the host that left the earlier copy unanswered, or empty. */
+  std::string_view avoidedHost;
+  /** The host's load by this node's own packets, in packets of late. */
+  double load = 0.0;
+  uint32_t weight = 0;
+  /** Hosts that could have taken the flow. */
+  uint32_t candidates = 0;
+  /** Version of the catalogue that the pool is from, and when this node applied it. */
+  uint64_t poolVersion = 0;
+  TimePoint poolAppliedAt{};
+};
+
 /** Send the packet to the back end. */
 struct ForwardToHost {
   HostId host;
@@ -43,14 +76,34 @@
   uint64_t incarnation = 0;
   /** Flow token for the host and the caller to reflect; 0: none. */
   uint32_t token = 0;
+  /** Empty where the director doesn't say. */
+  HostLabel label{};
+  /** Borrowed; set by directors that say it, for the opening packet of a flow. */
+  const PlacementEvidence* placement = nullptr;
 };
 /** Send the packet to the relay endpoint of the node that owns the flow. */
 struct RelayToNode {
   NodeId node;
   Endpoint endpoint;
 };
-/** Answer the caller: the flow is refused and was never forwarded. */
-struct RefuseFlow {};
+/** Why a flow is refused. */
+enum class RefusalReason : uint8_t {
+  /** No host may take the flow. */
+  kNoHost,
+  /** The flow's host has surely ended. */
+  kHostEnded,
+  /** No service has the address. */
+  kUnknownService,
+  kCount,
+};
+
+/** @return the snake_case label of a reason. */
+std::string_view toString(RefusalReason reason);
+
+/** Answer the caller: the flow is refused, or its host has ended; the packet is not forwarded. */
+struct RefuseFlow {
+  RefusalReason reason = RefusalReason::kNoHost;
+};
 /** The director keeps a copy (it was given the bytes) and releases it by a HeldPacketSink. */
 struct HoldPacket {};
 /** Drop and count. */
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -30,6 +30,20 @@
 
 }  // namespace
 
+std::string_view toString(HostChangeKind kind) {
+  switch (kind) {
+    case HostChangeKind::kAdded:
+      return "added";
+    case HostChangeKind::kDraining:
+      return "draining";
+    case HostChangeKind::kActive:
+      return "active";
+    case HostChangeKind::kLeft:
+      return "left";
+  }
+  return "unknown";
+}
+
 uint32_t flowTokenOf(uint64_t incarnation) {
   const auto token = static_cast<uint32_t>(mixHash(incarnation, 0) >> kTokenShift);
   return token == 0 ? 1 : token;
@@ -42,6 +56,7 @@
   removeService(service.name);
   const ServiceId id = serviceIdOf(service.name);
   ServiceEntry& entry = services_[id];
+  entry.name = service.name;
   entry.listen = listenKey(service.address, service.port, service.protocol);
   for (const HostGroup& group : service.groups) {
     // Nodes start at different places, so that few flows over many nodes are split well too.
@@ -62,42 +77,55 @@
   services_.erase(place);
 }
 
-void TokenDirector::setPool(TimePoint now, const HostPool& pool) {
-  const Tokens before = std::exchange(pools_[pool.name], {});
+std::vector<HostChange> TokenDirector::setPool(TimePoint now, const HostPool& pool,
+                                               uint64_t version) {
+  std::vector<HostChange> changes;
+  const Tokens before = std::exchange(pools_[pool.name], Pool{{}, version, now}).hosts;
   for (const HostSpec& spec : pool.hosts) {
-    admit(now, pool.name, spec);
+    admit(now, pool.name, spec, changes);
   }
-  const Tokens& listed = pools_[pool.name];
+  const Tokens& listed = pools_[pool.name].hosts;
   for (const uint32_t token : before) {
     const auto host = hosts_.find(token);
     const bool stays = std::find(listed.begin(), listed.end(), token) != listed.end();
     if (host != hosts_.end() && !stays) {
       host->second.listed = false;
       host->second.leftAt = now;
+      changes.push_back({HostChangeKind::kLeft, pool.name, host->second.spec});
     }
   }
   settleEnded();
   forgetOld(now);
+  return changes;
 }
 
-void TokenDirector::removePool(TimePoint now, const std::string& name) {
-  setPool(now, HostPool{name, {}});
+std::vector<HostChange> TokenDirector::removePool(TimePoint now, const std::string& name,
+                                                  uint64_t version) {
+  std::vector<HostChange> changes = setPool(now, HostPool{name, {}}, version);
   pools_.erase(name);
+  return changes;
 }
 
-void TokenDirector::admit(TimePoint now, const std::string& pool, const HostSpec& spec) {
+void TokenDirector::admit(TimePoint now, const std::string& pool, const HostSpec& spec,
+                          std::vector<HostChange>& changes) {
   const uint32_t token = flowTokenOf(spec.incarnation);
   const auto [place, added] = hosts_.try_emplace(token);
   Host& host = place->second;
   if (!added && host.spec.incarnation != spec.incarnation) {
     return;  // Two incarnations with one token can't be told apart: the first one keeps it.
   }
+  const bool drains = spec.state == HostState::kDraining;
+  if (added || !host.listed) {
+    changes.push_back({HostChangeKind::kAdded, pool, spec});
+  } else if (drains != (host.spec.state == HostState::kDraining)) {
+    changes.push_back({drains ? HostChangeKind::kDraining : HostChangeKind::kActive, pool, spec});
+  }
   host.spec = spec;
   host.id = hostIdOf(serviceIdOf(pool), spec.name);
   host.pool = pool;
   host.listed = true;
   host.leftAt = now;
-  pools_[pool].push_back(token);
+  pools_[pool].hosts.push_back(token);
   if (added) {
     host.firstSeen = now;
   }
@@ -148,7 +176,9 @@
   const uint32_t token = flowTokenOf(host->spec.incarnation);
   host->estimate.onOpening(now);
   openingOf(packet.hash) = {packet.hash, token, now};
-  return forward(*host, token);
+  ForwardToHost decision = forward(*host, token);
+  decision.placement = &evidence_;
+  return decision;
 }
 
 FlowDecision TokenDirector::follow(TimePoint now, const FlowPacket& packet) {
@@ -159,8 +189,9 @@
   }
   Host& host = place->second;
   if (host.ended) {
-    return packet.phase == PacketPhase::kReset ? FlowDecision(DropPacket{DropReason::kHostGone})
-                                               : FlowDecision(RefuseFlow{});
+    return packet.phase == PacketPhase::kReset
+               ? FlowDecision(DropPacket{DropReason::kHostGone})
+               : FlowDecision(RefuseFlow{RefusalReason::kHostEnded});
   }
   Opening& opening = openingOf(packet.hash);
   if (opening.flow == packet.hash && opening.token == packet.token) {
@@ -203,6 +234,7 @@
   for (Group* group : order) {
     if (Host* host = placeInPool(now, group->group.pool, avoided)) {
       group->owed -= 1.0;
+      noteEvidence(now, service, *host, avoided);
       return host;
     }
   }
@@ -214,29 +246,50 @@
   Host* best = nullptr;
   double bestRank = 0.0;
   uint64_t equals = 0;
-  const bool leaveZone = random_.unit() > ownZonePart(now, pool);
+  evidence_.candidates = 0;
+  evidence_.leavesZone = random_.unit() > ownZonePart(now, pool);
   for (auto& [token, host] : hosts_) {
-    auto rank = host.pool == pool ? this->rank(now, host, avoided) : std::nullopt;
-    if (rank && leaveZone && host.spec.zone == options_.zone) {
-      *rank += 2 * kTier;
+    const auto suits = host.pool == pool ? suitability(now, host, avoided) : std::nullopt;
+    if (!suits) {
+      continue;
     }
-    if (!rank || (best != nullptr && *rank > bestRank)) {
+    ++evidence_.candidates;
+    const double rank = suits->rank(evidence_.leavesZone);
+    if (best != nullptr && rank > bestRank) {
       continue;
     }
-    equals = best != nullptr && *rank == bestRank ? equals + 1 : 1;
+    equals = best != nullptr && rank == bestRank ? equals + 1 : 1;
     if (equals == 1 || random_.below(equals) == 0) {
       best = &host;
-      bestRank = *rank;
+      bestRank = rank;
     }
   }
   return best;
 }
 
+void TokenDirector::noteEvidence(TimePoint now, const ServiceEntry& service, const Host& host,
+                                 uint32_t avoided) {
+  const auto avoidedHost = hosts_.find(avoided);
+  const Pool& pool = pools_[host.pool];
+  evidence_.service = service.name;
+  evidence_.ownZone = host.spec.zone == options_.zone;
+  evidence_.silent = host.estimate.isSilent(now);
+  evidence_.vanished = !host.listed;
+  evidence_.avoidedHost = {};
+  if (avoidedHost != hosts_.end()) {
+    evidence_.avoidedHost = avoidedHost->second.spec.name;
+  }
+  evidence_.load = host.estimate.load(now);
+  evidence_.weight = host.spec.weight;
+  evidence_.poolVersion = pool.version;
+  evidence_.poolAppliedAt = pool.appliedAt;
+}
+
 double TokenDirector::ownZonePart(TimePoint now, const std::string& pool) const {
   std::unordered_map<std::string, double> weights;
   double total = 0.0;
   for (const auto& [token, host] : hosts_) {
-    if (host.pool == pool && rank(now, host, 0)) {
+    if (host.pool == pool && suitability(now, host, 0)) {
       weights[host.spec.zone] += host.spec.weight;
       total += host.spec.weight;
     }
@@ -249,24 +302,39 @@
   return part < kFewHosts ? part : 1.0;
 }
 
-std::optional<double> TokenDirector::rank(TimePoint now, const Host& host, uint32_t avoided) const {
+std::optional<TokenDirector::Suitability> TokenDirector::suitability(TimePoint now,
+                                                                     const Host& host,
+                                                                     uint32_t avoided) const {
   const bool vanished = !host.listed;
   if (host.ended || host.spec.state == HostState::kDraining || host.spec.weight == 0 ||
       (vanished && now - host.leftAt > kVanishedGrace)) {
     return std::nullopt;
   }
-  double tier = host.spec.zone == options_.zone ? 0.0 : kTier;
-  if (host.estimate.isSilent(now) || flowTokenOf(host.spec.incarnation) == avoided) {
+  Suitability suits;
+  suits.otherZone = host.spec.zone != options_.zone;
+  suits.silent = host.estimate.isSilent(now);
+  suits.avoided = flowTokenOf(host.spec.incarnation) == avoided;
+  suits.vanished = vanished;
+  suits.load = (host.estimate.load(now) + 1.0) / host.spec.weight;
+  return suits;
+}
+
+double TokenDirector::Suitability::rank(bool leavesZone) const {
+  double tier = otherZone ? kTier : 0.0;
+  if (leavesZone && !otherZone) {
+    tier += 2 * kTier;
+  }
+  if (silent || avoided) {
     tier += 2 * kTier;
   }
   if (vanished) {
     tier += 4 * kTier;
   }
-  return tier + (host.estimate.load(now) + 1.0) / host.spec.weight;
+  return tier + load;
 }
 
 ForwardToHost TokenDirector::forward(const Host& host, uint32_t token) const {
-  return {host.id, host.spec.endpoint, host.spec.incarnation, token};
+  return {host.id, host.spec.endpoint, host.spec.incarnation, token, {host.spec.name, host.pool}};
 }
 
 bool TokenDirector::awaitsPool(const ServiceEntry& service) const {
--- /dev/null
+++ b/source/common/log/line_output.cc
@@ -0,0 +1,71 @@
+#include "common/log/line_output.h"
+
+#include <poll.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+
+namespace umberhold {
+namespace {
+
+bool isRegularFile(int descriptor) {
+  struct stat status {};
+  return ::fstat(descriptor, &status) == 0 && S_ISREG(status.st_mode);
+}
+
+}  // namespace
+
+LineOutput::LineOutput(int descriptor, size_t bufferBytes)
+    : descriptor_(descriptor), bufferBytes_(bufferBytes), alwaysReady_(isRegularFile(descriptor)) {}
+
+void LineOutput::append(std::string_view line) {
+  const std::lock_guard lock(mutex_);
+  if (buffer_.size() - written_ + line.size() + 1 > bufferBytes_) {
+    ++counters_.lost;
+    return;
+  }
+  ++counters_.taken;
+  buffer_.append(line);
+  buffer_.push_back('\n');
+}
+
+size_t LineOutput::room() const {
+  if (alwaysReady_) {
+    return SIZE_MAX;
+  }
+  pollfd ready{descriptor_, POLLOUT, 0};
+  // A pipe is writable once it takes PIPE_BUF bytes at once.
+  return ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0 ? PIPE_BUF : 0;
+}
+
+void LineOutput::flush() {
+  const std::lock_guard lock(mutex_);
+  while (written_ < buffer_.size()) {
+    const size_t most = std::min(room(), buffer_.size() - written_);
+    const ssize_t count = most == 0 ? 0 : ::write(descriptor_, buffer_.data() + written_, most);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      break;
+    }
+    written_ += static_cast<size_t>(count);
+  }
+  buffer_.erase(0, written_);
+  written_ = 0;
+}
+
+LineCounters LineOutput::counters() const {
+  const std::lock_guard lock(mutex_);
+  return counters_;
+}
+
+bool LineOutput::hasPending() const {
+  const std::lock_guard lock(mutex_);
+  return written_ < buffer_.size();
+}
+
+}  // namespace umberhold
--- a/source/common/packet/packet_path.cc
+++ b/source/common/packet/packet_path.cc
@@ -13,12 +13,12 @@
 void PacketPath::onPacket(TimePoint now, PacketSource source, std::string_view bytes) {
   ++counters_.received[static_cast<size_t>(source)];
   if (!ready_) {
-    drop(DropReason::kNotReady);
+    dropUnread(now, DropReason::kNotReady, bytes);
     return;
   }
   const auto parsed = format_.parse(bytes);
   if (!isOk(parsed)) {
-    drop(errorOf(parsed));
+    dropUnread(now, errorOf(parsed), bytes);
     return;
   }
   route(now, source, valueOf(parsed), bytes.substr(0, valueOf(parsed).totalLength));
@@ -30,15 +30,22 @@
 
 void PacketPath::route(TimePoint now, PacketSource source, const ParsedPacket& packet,
                        std::string_view bytes) {
+  const FlowDecision decision = decide(now, source, packet, bytes);
+  std::visit([&](const auto& chosen) { act(chosen, packet, bytes); }, decision);
+  if (observer_ != nullptr) {
+    observer_->onDecided(now, packet, decision, bytes);
+  }
+}
+
+FlowDecision PacketPath::decide(TimePoint now, PacketSource source, const ParsedPacket& packet,
+                                std::string_view bytes) {
   const Endpoint& address = packet.key.service;
   const auto match = services_.find(address.address, address.port, packet.key.protocol);
   if (!match) {
-    rejectUnknown(packet, bytes);
-    return;
+    return rejectUnknown(packet);
   }
   if (!match->homeRegion) {
-    drop(DropReason::kWrongRegion);
-    return;
+    return DropPacket{DropReason::kWrongRegion};
   }
   FlowPacket flow;
   flow.key = packet.key;
@@ -48,16 +55,21 @@
   flow.source = source;
   flow.timeToLive = packet.timeToLive;
   flow.token = packet.token;
-  const FlowDecision decision = director_.decide(now, flow, bytes);
-  std::visit([&](const auto& chosen) { act(chosen, packet, bytes); }, decision);
+  return director_.decide(now, flow, bytes);
 }
 
-void PacketPath::rejectUnknown(const ParsedPacket& packet, std::string_view bytes) {
+FlowDecision PacketPath::rejectUnknown(const ParsedPacket& packet) const {
   if (refuseUnknownServices_ && packet.phase != PacketPhase::kReset) {
-    act(RefuseFlow{}, packet, bytes);
-    return;
+    return RefuseFlow{RefusalReason::kUnknownService};
+  }
+  return DropPacket{DropReason::kUnknownService};
+}
+
+void PacketPath::dropUnread(TimePoint now, DropReason reason, std::string_view bytes) {
+  drop(reason);
+  if (observer_ != nullptr) {
+    observer_->onDropped(now, reason, bytes);
   }
-  drop(DropReason::kUnknownService);
 }
 
 void PacketPath::drop(DropReason reason) {
--- a/source/common/packet/packet_path.h
+++ b/source/common/packet/packet_path.h
@@ -11,6 +11,7 @@
 #include "common/flow/flow_director.h"
 #include "common/packet/drop_reason.h"
 #include "common/packet/packet_format.h"
+#include "common/packet/packet_observer.h"
 #include "common/packet/packet_output.h"
 #include "common/packet/packet_parser.h"
 #include "common/packet/service_lookup.h"
@@ -43,6 +44,9 @@
   /** Whether callers of an address without a service are refused rather than left in silence. */
   void setRefuseUnknownServices(bool refuse) { refuseUnknownServices_ = refuse; }
 
+  /** @param observer borrowed; must outlive the path. */
+  void setObserver(PacketObserver* observer) { observer_ = observer; }
+
   /** @param bytes a packet in the path's format; valid during the call only. */
   void onPacket(TimePoint now, PacketSource source, std::string_view bytes);
 
@@ -54,7 +58,10 @@
  private:
   void route(TimePoint now, PacketSource source, const ParsedPacket& packet,
              std::string_view bytes);
-  void rejectUnknown(const ParsedPacket& packet, std::string_view bytes);
+  FlowDecision decide(TimePoint now, PacketSource source, const ParsedPacket& packet,
+                      std::string_view bytes);
+  FlowDecision rejectUnknown(const ParsedPacket& packet) const;
+  void dropUnread(TimePoint now, DropReason reason, std::string_view bytes);
   void drop(DropReason reason);
   void act(const ForwardToHost& decision, const ParsedPacket& packet, std::string_view bytes);
   void act(const RelayToNode& decision, const ParsedPacket& packet, std::string_view bytes);
@@ -66,6 +73,7 @@
   FlowDirector& director_;
   PacketOutput& output_;
   const PacketFormat& format_;
+  PacketObserver* observer_ = nullptr;
   bool ready_ = false;
   bool refuseUnknownServices_ = false;
   PacketCounters counters_;
--- a/source/common/platform/platform_store.cc
+++ b/source/common/platform/platform_store.cc
@@ -20,6 +20,26 @@
   return "unknown";
 }
 
+std::string_view toString(StoreErrorCode code) {
+  switch (code) {
+    case StoreErrorCode::kUnavailable:
+      return "unavailable";
+    case StoreErrorCode::kAnswerLost:
+      return "answer_lost";
+    case StoreErrorCode::kConflict:
+      return "conflict";
+    case StoreErrorCode::kNotFound:
+      return "not_found";
+    case StoreErrorCode::kTooOld:
+      return "too_old";
+    case StoreErrorCode::kMalformedAnswer:
+      return "malformed_answer";
+    case StoreErrorCode::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
 bool isWatched(Collection collection) {
   return collection != Collection::kLeases && collection != Collection::kClaims;
 }
--- a/source/common/platform/platform_store.h
+++ b/source/common/platform/platform_store.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/base/endpoint.h"
@@ -108,6 +109,9 @@
   kRejected,
 };
 
+/** @return the snake_case name of a code. */
+std::string_view toString(StoreErrorCode code);
+
 /** A store failure. */
 struct StoreError {
   StoreErrorCode code = StoreErrorCode::kUnavailable;
--- /dev/null
+++ b/source/common/platform/store_read_status.h
@@ -0,0 +1,28 @@
+/** @file How a process's reading of the platform's store goes, for logs and metrics. */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "common/base/time.h"
+
+namespace umberhold {
+
+/** A snapshot. */
+struct StoreReadStatus {
+  uint64_t lists = 0;
+  uint64_t watches = 0;
+  /** Calls without a whole answer of use. */
+  uint64_t failures = 0;
+  /** Objects that could not be understood. */
+  uint64_t unreadable = 0;
+  /** Whether calls fail at present. */
+  bool failing = false;
+  /** When the store last answered. */
+  std::optional<TimePoint> lastAnswerAt;
+  /** The operator's version of the configuration in force, and when it was read; 0 for none. */
+  uint64_t configurationVersion = 0;
+  TimePoint configurationReadAt{};
+};
+
+}  // namespace umberhold
--- a/source/common/server/catalog_reader.cc
+++ b/source/common/server/catalog_reader.cc
@@ -7,6 +7,7 @@
 
 #include "common/platform/deletion_marker.h"
 #include "common/platform/object_json.h"
+#include "common/platform/steady_now.h"
 
 namespace umberhold {
 namespace {
@@ -84,6 +85,8 @@
     lowest = std::min(lowest, valueOf(list).version);
   }
   since_ = lowest;
+  all.version = since_;
+  all.seenAt = steadyNow();
   sink_(std::move(all));
   return true;
 }
@@ -95,6 +98,8 @@
   }
   since_ = valueOf(batch).version;
   CatalogChanges news;
+  news.version = since_;
+  news.seenAt = steadyNow();
   for (const StoredObject& object : valueOf(batch).events) {
     for (CatalogChange& change : read(object)) {
       news.changes.push_back(std::move(change));
--- a/source/common/server/catalog_reader.h
+++ b/source/common/server/catalog_reader.h
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/base/time.h"
 #include "common/config/service.h"
 #include "common/platform/platform_store.h"
 
@@ -31,6 +32,10 @@
 
 /** Changes that take effect together. */
 struct CatalogChanges {
+  /** Version of the catalogue with them. */
+  uint64_t version = 0;
+  /** When the reader got them. */
+  TimePoint seenAt{};
   std::vector<CatalogChange> changes;
 };
 
--- a/source/common/server/command_line.cc
+++ b/source/common/server/command_line.cc
@@ -11,8 +11,6 @@
 namespace umberhold {
 namespace {
 
-constexpr const char* kVersion = "0.1.0";
-
 /** TCLAP's output with the table of options below the flags. */
 class HelpOutput : public TCLAP::StdOutput {
  public:
--- a/source/common/server/command_line.h
+++ b/source/common/server/command_line.h
@@ -10,6 +10,9 @@
 
 namespace umberhold {
 
+/** Version of the programs. */
+constexpr const char* kVersion = "0.1.0";
+
 /** What the flags ask for. */
 struct CommandLine {
   /** Path of the settings file; empty for none. */
--- /dev/null
+++ b/source/common/server/flow_log.cc
@@ -0,0 +1,202 @@
+#include "common/server/flow_log.h"
+
+#include <iomanip>
+#include <utility>
+#include <variant>
+
+#include "common/packet/request_header.h"
+
+namespace umberhold {
+namespace {
+
+constexpr const char* kNone = "-";
+
+std::string_view toString(PacketPhase phase) {
+  switch (phase) {
+    case PacketPhase::kOpening:
+      return "opening";
+    case PacketPhase::kContinuing:
+      return "continuing";
+    case PacketPhase::kClosing:
+      return "closing";
+    case PacketPhase::kReset:
+      return "reset";
+    case PacketPhase::kUnmarked:
+      break;
+  }
+  return "unmarked";
+}
+
+/** Writes "caller>service". */
+struct FlowText {
+  const FlowKey& key;
+};
+
+std::ostream& operator<<(std::ostream& out, const FlowText& flow) {
+  return out << toString(flow.key.caller) << ">" << toString(flow.key.service);
+}
+
+/** Writes the request's identifier, or "-". */
+struct RequestText {
+  std::string_view id;
+};
+
+std::ostream& operator<<(std::ostream& out, const RequestText& request) {
+  return request.id.empty() ? out << kNone : out << printableRequestId(request.id);
+}
+
+/** Writes a host with its pool and address. */
+struct HostText {
+  const ForwardToHost& decision;
+};
+
+std::ostream& operator<<(std::ostream& out, const HostText& host) {
+  return out << "pool=" << host.decision.label.pool << " host=" << host.decision.label.name
+             << " endpoint=" << toString(host.decision.endpoint);
+}
+
+int64_t millisecondsOf(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/** Writes what decided a placement. */
+struct EvidenceText {
+  const PlacementEvidence& evidence;
+  TimePoint now;
+};
+
+std::ostream& operator<<(std::ostream& out, const EvidenceText& text) {
+  const PlacementEvidence& evidence = text.evidence;
+  return out << " zone=" << (evidence.ownZone ? "own" : "other")
+             << " leaves_zone=" << evidence.leavesZone << " silent=" << evidence.silent
+             << " vanished=" << evidence.vanished << " load=" << std::fixed << std::setprecision(1)
+             << evidence.load << " weight=" << evidence.weight
+             << " candidates=" << evidence.candidates << " catalogue=" << evidence.poolVersion
+             << " age_ms=" << millisecondsOf(text.now - evidence.poolAppliedAt);
+}
+
+}  // namespace
+
+FlowLog::FlowLog(google::LogSink* sink, const PacketFormat& format, std::string requestHeader)
+    : sink_(sink), format_(format), requestHeader_(std::move(requestHeader)) {}
+
+bool FlowLog::admit(TimePoint now, LineKind kind) {
+  if (sink_ == nullptr || !budget_.admit(now, kind)) {
+    return false;
+  }
+  const uint64_t suppressed = budget_.takeSuppressed(kind);
+  if (suppressed > 0) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, WARNING)
+        << "event=lines_suppressed kind=" << umberhold::toString(kind) << " count=" << suppressed;
+  }
+  return true;
+}
+
+std::string_view FlowLog::requestOf(const ParsedPacket& packet, std::string_view bytes) const {
+  const size_t head = packet.networkHeaderLength + packet.transportHeaderLength;
+  return bytes.size() <= head ? std::string_view{}
+                              : findRequestId(bytes.substr(head), requestHeader_);
+}
+
+void FlowLog::onDecided(TimePoint now, const ParsedPacket& packet, const FlowDecision& decision,
+                        std::string_view bytes) {
+  const Seen seen{now, packet, requestOf(packet, bytes)};
+  std::visit([&](const auto& chosen) { log(seen, chosen); }, decision);
+}
+
+void FlowLog::onDropped(TimePoint now, DropReason reason, std::string_view bytes) {
+  const auto parsed = format_.parse(bytes);
+  if (isOk(parsed)) {
+    const ParsedPacket& packet = valueOf(parsed);
+    log(Seen{now, packet, requestOf(packet, bytes)}, DropPacket{reason});
+    return;
+  }
+  if (admit(now, LineKind::kFailure)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, WARNING)
+        << "event=packet_dropped reason=" << umberhold::toString(reason)
+        << " bytes=" << bytes.size();
+  }
+}
+
+void FlowLog::log(const Seen& seen, const ForwardToHost& decision) {
+  if (decision.placement != nullptr) {
+    logPlacement(seen, decision);
+  } else if (!seen.requestId.empty()) {
+    logRequest(seen, decision);
+  } else if (seen.packet.phase == PacketPhase::kReset) {
+    logCallerReset(seen, decision);
+  }
+}
+
+void FlowLog::logPlacement(const Seen& seen, const ForwardToHost& decision) {
+  const PlacementEvidence& evidence = *decision.placement;
+  const auto found = counters_.openedByPool.find(decision.label.pool);
+  OpenedFlows& opened = found != counters_.openedByPool.end()
+                            ? found->second
+                            : counters_.openedByPool[std::string(decision.label.pool)];
+  ++(evidence.ownZone ? opened.ownZone : opened.otherZone);
+  const bool repeated = !evidence.avoidedHost.empty();
+  counters_.repeatedOpenings += repeated ? 1 : 0;
+  if (!admit(seen.now, repeated ? LineKind::kFailure : LineKind::kPlacement)) {
+    return;
+  }
+  LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
+      << "event=" << (repeated ? "opening_repeated" : "flow_placed")
+      << " flow=" << FlowText{seen.packet.key} << " service=" << evidence.service << " "
+      << HostText{decision} << " avoided=" << (repeated ? evidence.avoidedHost : kNone)
+      << EvidenceText{evidence, seen.now};
+}
+
+void FlowLog::logRequest(const Seen& seen, const ForwardToHost& decision) {
+  ++counters_.requests;
+  if (admit(seen.now, LineKind::kRequest)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
+        << "event=request request=" << RequestText{seen.requestId}
+        << " flow=" << FlowText{seen.packet.key} << " " << HostText{decision};
+  }
+}
+
+void FlowLog::logCallerReset(const Seen& seen, const ForwardToHost& decision) {
+  ++counters_.callerResets;
+  if (admit(seen.now, LineKind::kFailure)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
+        << "event=caller_reset flow=" << FlowText{seen.packet.key} << " " << HostText{decision};
+  }
+}
+
+void FlowLog::log(const Seen& seen, const RefuseFlow& decision) {
+  ++counters_.refused[static_cast<size_t>(decision.reason)];
+  if (admit(seen.now, LineKind::kFailure)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, WARNING)
+        << "event=flow_refused reason=" << umberhold::toString(decision.reason)
+        << " flow=" << FlowText{seen.packet.key} << " phase=" << toString(seen.packet.phase)
+        << " request=" << RequestText{seen.requestId};
+  }
+}
+
+void FlowLog::log(const Seen& seen, const DropPacket& decision) {
+  if (admit(seen.now, LineKind::kFailure)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, WARNING)
+        << "event=packet_dropped reason=" << umberhold::toString(decision.reason)
+        << " flow=" << FlowText{seen.packet.key} << " phase=" << toString(seen.packet.phase)
+        << " token=" << seen.packet.token << " request=" << RequestText{seen.requestId};
+  }
+}
+
+void FlowLog::log(const Seen& seen, const RelayToNode& decision) {
+  if (!seen.requestId.empty() && admit(seen.now, LineKind::kRequest)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
+        << "event=request request=" << RequestText{seen.requestId}
+        << " flow=" << FlowText{seen.packet.key} << " relay=" << toString(decision.endpoint);
+  }
+}
+
+void FlowLog::log(const Seen& seen, const HoldPacket& /*decision*/) {
+  if (admit(seen.now, LineKind::kFailure)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
+        << "event=packet_held flow=" << FlowText{seen.packet.key}
+        << " request=" << RequestText{seen.requestId};
+  }
+}
+
+}  // namespace umberhold
--- a/source/common/server/node_metrics.cc
+++ b/source/common/server/node_metrics.cc
@@ -3,11 +3,7 @@
 
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
-#include <chrono>
-#include <fstream>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -15,97 +11,17 @@
 namespace umberhold {
 namespace {
 
-using prometheus::ClientMetric;
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-constexpr double kMicrosecondsPerSecond = 1e6;
-
-double secondsOf(Duration duration) {
-  return static_cast<double>(duration.count()) / kMicrosecondsPerSecond;
-}
-
-/** One family of metrics that share a name. */
-class Family {
- public:
-  Family(MetricType type, std::string name, std::string help) {
-    family_.type = type;
-    family_.name = std::move(name);
-    family_.help = std::move(help);
-  }
-
-  Family& add(double value, std::vector<ClientMetric::Label> labels = {}) {
-    ClientMetric metric;
-    metric.label = std::move(labels);
-    (family_.type == MetricType::Counter ? metric.counter.value : metric.gauge.value) = value;
-    family_.metric.push_back(std::move(metric));
-    return *this;
-  }
-
-  MetricFamily take() { return std::move(family_); }
-
- private:
-  MetricFamily family_;
-};
-
-ClientMetric::Label label(std::string name, std::string_view value) {
-  return {std::move(name), std::string(value)};
-}
-
-Family counter(std::string name, std::string help) {
-  return {MetricType::Counter, std::move(name), std::move(help)};
-}
-
-MetricFamily counterOf(std::string name, std::string help, double value) {
-  return counter(std::move(name), std::move(help)).add(value).take();
-}
-
-MetricFamily gaugeOf(std::string name, std::string help, double value) {
-  return Family(MetricType::Gauge, std::move(name), std::move(help)).add(value).take();
-}
-
-/** Calls the visitor for each value of an enum that counts from 0 to kCount. */
-template <class Enum, class Visitor>
-void forEachValue(const Visitor& visitor) {
-  for (size_t index = 0; index < static_cast<size_t>(Enum::kCount); ++index) {
-    visitor(static_cast<Enum>(index), index);
-  }
-}
-
-MetricFamily packetFamily(const PacketCounters& packets) {
-  return counter("umberhold_packets_total", "Packets by what was decided about them")
-      .add(static_cast<double>(packets.forwarded), {label("decision", "forwarded")})
-      .add(static_cast<double>(packets.relayed), {label("decision", "relayed")})
-      .add(static_cast<double>(packets.refused), {label("decision", "refused")})
-      .add(static_cast<double>(packets.held), {label("decision", "held")})
-      .take();
-}
-
-MetricFamily receivedFamily(const PacketCounters& packets) {
-  const auto source = [&packets](PacketSource from) {
-    return static_cast<double>(packets.received[static_cast<size_t>(from)]);
-  };
-  return counter("umberhold_packets_received_total", "Packets by who handed them in")
-      .add(source(PacketSource::kFabric), {label("source", "fabric")})
-      .add(source(PacketSource::kPeer), {label("source", "peer")})
-      .take();
-}
-
-MetricFamily dropFamily(const PacketCounters& packets) {
-  Family family = counter("umberhold_packets_dropped_total", "Dropped packets by reason");
-  forEachValue<DropReason>([&](DropReason reason, size_t index) {
-    family.add(static_cast<double>(packets.dropped[index]), {label("reason", toString(reason))});
-  });
-  return family.take();
-}
-
 MetricFamily controlBytesFamily(const TrafficMeter& traffic) {
-  Family family = counter("umberhold_control_bytes_total",
-                          "Bytes of node messages: UDP payload and 28 bytes of headers a datagram");
+  MetricFamilyBuilder family =
+      counterFamily("umberhold_control_bytes_total",
+                    "Bytes of node messages: UDP payload and 28 bytes of headers a datagram");
   forEachValue<TrafficClass>([&](TrafficClass purpose, size_t) {
     const auto add = [&](std::string_view direction, const TrafficCount& count) {
       family.add(static_cast<double>(count.bytes),
-                 {label("class", toString(purpose)), label("direction", direction)});
+                 {metricLabel("class", toString(purpose)), metricLabel("direction", direction)});
     };
     add("sent", traffic.sent(purpose));
     add("received", traffic.received(purpose));
@@ -114,11 +30,12 @@
 }
 
 MetricFamily controlDatagramsFamily(const TrafficMeter& traffic) {
-  Family family = counter("umberhold_control_datagrams_total", "Datagrams of node messages");
+  MetricFamilyBuilder family =
+      counterFamily("umberhold_control_datagrams_total", "Datagrams of node messages");
   forEachValue<TrafficClass>([&](TrafficClass purpose, size_t) {
     const auto add = [&](std::string_view direction, const TrafficCount& count) {
       family.add(static_cast<double>(count.datagrams),
-                 {label("class", toString(purpose)), label("direction", direction)});
+                 {metricLabel("class", toString(purpose)), metricLabel("direction", direction)});
     };
     add("sent", traffic.sent(purpose));
     add("received", traffic.received(purpose));
@@ -127,52 +44,48 @@
 }
 
 MetricFamily refusedFamily(const NodeMetrics& metrics) {
-  Family family = counter("umberhold_control_refused_total",
-                          "Datagrams on the control port that were not taken, by reason");
+  MetricFamilyBuilder family =
+      counterFamily("umberhold_control_refused_total",
+                    "Datagrams on the control port that were not taken, by reason");
   forEachValue<OpenError>([&](OpenError reason, size_t index) {
     family.add(static_cast<double>(metrics.refusedDatagrams[index]),
-               {label("reason", toString(reason)), label("layer", "envelope")});
+               {metricLabel("reason", toString(reason)), metricLabel("layer", "envelope")});
   });
   forEachValue<DecodeErrorCode>([&](DecodeErrorCode reason, size_t index) {
     family.add(static_cast<double>(metrics.control.decodeFailures[index]),
-               {label("reason", toString(reason)), label("layer", "codec")});
+               {metricLabel("reason", toString(reason)), metricLabel("layer", "codec")});
   });
   return family.take();
 }
 
 MetricFamily acceptedKeyFamily(const NodeMetrics& metrics) {
-  Family family(MetricType::Gauge, "umberhold_accepted_key", "1 for each key that is accepted");
+  MetricFamilyBuilder family(MetricType::Gauge, "umberhold_accepted_key",
+                             "1 for each key that is accepted");
   for (const uint32_t id : metrics.acceptedKeys) {
-    family.add(1, {label("id", std::to_string(id))});
+    family.add(1, {metricLabel("id", std::to_string(id))});
   }
   return family.take();
 }
 
-MetricFamily reloadFamily(const ReloadCounters& reloads) {
-  return counter("umberhold_settings_reloads_total", "Settings read anew while the node ran")
-      .add(static_cast<double>(reloads.taken), {label("result", "taken")})
-      .add(static_cast<double>(reloads.refused), {label("result", "refused")})
-      .take();
-}
-
 MetricFamily memberFamily(const MemberCounts& members) {
-  return Family(MetricType::Gauge, "umberhold_members", "Members of the region by state")
-      .add(members.joining, {label("state", "joining")})
-      .add(members.alive, {label("state", "alive")})
-      .add(members.suspect, {label("state", "suspect")})
-      .add(members.leaving, {label("state", "leaving")})
-      .add(members.dead, {label("state", "dead")})
+  return MetricFamilyBuilder(MetricType::Gauge, "umberhold_members",
+                             "Members of the region by state")
+      .add(members.joining, {metricLabel("state", "joining")})
+      .add(members.alive, {metricLabel("state", "alive")})
+      .add(members.suspect, {metricLabel("state", "suspect")})
+      .add(members.leaving, {metricLabel("state", "leaving")})
+      .add(members.dead, {metricLabel("state", "dead")})
       .take();
 }
 
 MetricFamily portFamily(const NodeMetrics& metrics) {
-  Family family =
-      counter("umberhold_udp_failures_total", "Datagrams that a port could not send or take");
+  MetricFamilyBuilder family =
+      counterFamily("umberhold_udp_failures_total", "Datagrams that a port could not send or take");
   const auto add = [&family](std::string_view port, const UdpCounters& counters) {
     family.add(static_cast<double>(counters.sendFailures),
-               {label("port", port), label("failure", "not_sent")});
+               {metricLabel("port", port), metricLabel("failure", "not_sent")});
     family.add(static_cast<double>(counters.tooLong),
-               {label("port", port), label("failure", "too_long")});
+               {metricLabel("port", port), metricLabel("failure", "too_long")});
   };
   add("data", metrics.dataPort);
   add("relay", metrics.relayPort);
@@ -181,19 +94,21 @@
 }
 
 MetricFamily takeoverFamily(const ShardCounters& shards) {
-  return counter("umberhold_takeovers_total", "Shards taken over, by where their state came from")
-      .add(static_cast<double>(shards.takeoversFromOwner), {label("from", "owner")})
-      .add(static_cast<double>(shards.takeoversFromReplica), {label("from", "replica")})
-      .add(static_cast<double>(shards.takeoversFromOwnState), {label("from", "own_state")})
-      .add(static_cast<double>(shards.shardsBuiltNew), {label("from", "nothing")})
+  return counterFamily("umberhold_takeovers_total",
+                       "Shards taken over, by where their state came from")
+      .add(static_cast<double>(shards.takeoversFromOwner), {metricLabel("from", "owner")})
+      .add(static_cast<double>(shards.takeoversFromReplica), {metricLabel("from", "replica")})
+      .add(static_cast<double>(shards.takeoversFromOwnState), {metricLabel("from", "own_state")})
+      .add(static_cast<double>(shards.shardsBuiltNew), {metricLabel("from", "nothing")})
       .take();
 }
 
 MetricFamily policyFamily(const std::vector<PolicyHealth>& policies) {
-  Family family = counter("umberhold_policy_failures_total",
-                          "Evaluations that failed and left the last good weights in force");
+  MetricFamilyBuilder family =
+      counterFamily("umberhold_policy_failures_total",
+                    "Evaluations that failed and left the last good weights in force");
   for (const PolicyHealth& health : policies) {
-    family.add(static_cast<double>(health.failures), {label("policy", health.policy)});
+    family.add(static_cast<double>(health.failures), {metricLabel("policy", health.policy)});
   }
   return family.take();
 }
@@ -238,10 +153,7 @@
 
 void addUsage(const NodeMetrics& metrics, const ProcessUsage& usage,
               std::vector<MetricFamily>& families) {
-  families.push_back(gaugeOf("umberhold_resident_bytes", "Resident memory of the process",
-                             static_cast<double>(usage.residentBytes)));
-  families.push_back(counterOf("umberhold_process_cpu_seconds_total",
-                               "CPU time of all threads of the process", secondsOf(usage.cpu)));
+  addUsageFamilies(usage, families);
   families.push_back(counterOf("umberhold_packet_cpu_seconds_total",
                                "CPU time spent on packets of the data and relay ports",
                                secondsOf(metrics.loop.packetCpu)));
@@ -252,33 +164,14 @@
                                secondsOf(metrics.loop.totalCpu)));
 }
 
-Duration durationOf(const timeval& time) {
-  return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
-}
-
 }  // namespace
 
-ProcessUsage readProcessUsage() {
-  ProcessUsage usage;
-  rusage resources{};
-  ::getrusage(RUSAGE_SELF, &resources);
-  usage.cpu = durationOf(resources.ru_utime) + durationOf(resources.ru_stime);
-  std::ifstream statm("/proc/self/statm");
-  uint64_t totalPages = 0;
-  uint64_t residentPages = 0;
-  statm >> totalPages >> residentPages;
-  usage.residentBytes = residentPages * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE));
-  return usage;
-}
-
 std::string renderMetrics(const NodeMetrics& metrics, const ProcessUsage& usage) {
   std::vector<MetricFamily> families;
   addKeys(metrics, families);
   addState(metrics, families);
   addShards(metrics.core, families);
-  families.push_back(receivedFamily(metrics.core.packets));
-  families.push_back(packetFamily(metrics.core.packets));
-  families.push_back(dropFamily(metrics.core.packets));
+  addPacketFamilies(metrics.core.packets, families);
   families.push_back(counterOf(
       "umberhold_refusals_unanswered_total", "Refused packets for which no answer was sent",
       static_cast<double>(metrics.core.packets.unanswered + metrics.unsentAnswers)));
--- a/source/common/server/node_metrics.h
+++ b/source/common/server/node_metrics.h
@@ -10,18 +10,11 @@
 #include "common/node/node_core.h"
 #include "common/server/control_transport.h"
 #include "common/server/event_loop.h"
+#include "common/server/metric_families.h"
 #include "common/server/udp_port.h"
 
 namespace umberhold {
 
-/** Settings that were read anew while the node ran. */
-struct ReloadCounters {
-  /** Their keys are in force. */
-  uint64_t taken = 0;
-  /** Faulty, or the keys would skip a step of a rotation. */
-  uint64_t refused = 0;
-};
-
 /** A snapshot, taken on the loop thread. */
 struct NodeMetrics {
   NodeReadiness readiness = NodeReadiness::kJoining;
@@ -41,15 +34,6 @@
   ReloadCounters reloads;
 };
 
-/** What the process takes of the machine. */
-struct ProcessUsage {
-  Duration cpu{0};
-  uint64_t residentBytes = 0;
-};
-
-/** @return the usage of this process so far. */
-ProcessUsage readProcessUsage();
-
 /** @return the snapshot in Prometheus' text format. */
 std::string renderMetrics(const NodeMetrics& metrics, const ProcessUsage& usage);
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -4,6 +4,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <random>
 #include <utility>
 
@@ -11,9 +12,11 @@
 #include "common/packet/packet_path.h"
 #include "common/platform/steady_now.h"
 #include "common/server/catalog_reader.h"
+#include "common/server/flow_log.h"
 #include "common/server/loop_mailbox.h"
+#include "common/server/poll_http_port.h"
 #include "common/server/poll_loop.h"
-#include "common/server/readiness_port.h"
+#include "common/server/token_node_metrics.h"
 
 namespace umberhold {
 namespace {
@@ -37,6 +40,13 @@
   const uint16_t callerPort_;
 };
 
+/** How often the settings file is looked at. */
+constexpr Duration kSettingsInterval = std::chrono::seconds(5);
+/** How soon lines that the output had no room for are tried again. */
+constexpr Duration kFlushInterval = std::chrono::milliseconds(100);
+/** Content type of Prometheus' text format. */
+constexpr const char* kMetricsType = "text/plain; version=0.0.4";
+
 uint64_t randomSeed() {
   std::random_device device;
   return (uint64_t{device()} << 32U) | device();
@@ -49,61 +59,187 @@
 }  // namespace
 
 struct TokenNode::Parts {
-  Parts(const TokenNodeSettings& given, const PacketFormat& format,
+  Parts(const TokenNodeSettings& given, const PacketFormat& format, TokenNodeHooks givenHooks,
         std::unique_ptr<UdpPort> udpPort)
       : settings(given),
+        hooks(std::move(givenHooks)),
         port(std::move(udpPort)),
         director(optionsOf(given), random),
         output(*port, port->local().port),
         path(director, director, output, format),
-        stopDescriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+        flowLog(hooks.log == nullptr ? nullptr : hooks.log->gathered(), format,
+                given.requestHeader),
+        signalDescriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
     path.setRefuseUnknownServices(true);
+    path.setObserver(&flowLog);
     loop.watch(port->descriptor(), [this] { receive(); });
     loop.watch(mailbox.wakeDescriptor(), [this] { mailbox.drain(); });
-    loop.watch(stopDescriptor, [this] { beginStop(); });
+    loop.watch(signalDescriptor, [this] { takeSignals(); });
+    if (hooks.settingsChanged && hooks.readSettings) {
+      watchSettings();
+    }
   }
-  ~Parts() { ::close(stopDescriptor); }
+  ~Parts() { ::close(signalDescriptor); }
 
   void receive() {
-    const TimePoint now = steadyNow();
-    while (port->receive([this, now](const Endpoint&, std::string_view bytes) {
-      path.onPacket(now, PacketSource::kFabric, bytes);
-    }) == kReceiveBatch) {
+    size_t count = kReceiveBatch;
+    while (count == kReceiveBatch) {
+      TimePoint now = steadyNow();
+      count = port->receive([this, &now](const Endpoint&, std::string_view bytes) {
+        path.onPacket(now, PacketSource::kFabric, bytes);
+        const TimePoint done = steadyNow();
+        packetTimes.Observe(secondsOf(done - now));
+        now = done;
+      });
+    }
+    flushLog();
+  }
+
+  void flushLog() {
+    if (hooks.log == nullptr) {
+      return;
+    }
+    hooks.log->flush();
+    if (hooks.log->output().hasPending() && !flushPlanned) {
+      flushPlanned = true;
+      loop.at(steadyNow() + kFlushInterval, [this] {
+        flushPlanned = false;
+        flushLog();
+      });
     }
   }
 
   void take(const CatalogChanges& news) {
     const TimePoint now = steadyNow();
     for (const CatalogChange& change : news.changes) {
-      std::visit([&](const auto& object) { apply(now, object); }, change);
-    }
-    if (!configured) {
-      configured = true;
-      path.setReady(true);
-      LOG(INFO) << "event=ready services=" << director.serviceCount()
-                << " hosts=" << director.listedHostCount();
+      std::visit([&](const auto& object) { apply(now, news.version, object); }, change);
     }
+    changeTimes.Observe(secondsOf(steadyNow() - news.seenAt));
+    LOG(INFO) << "event=catalogue_in_force catalogue=" << news.version
+              << " changes=" << news.changes.size() << " services=" << director.serviceCount()
+              << " hosts=" << director.listedHostCount()
+              << " took_us=" << (steadyNow() - news.seenAt).count();
+    flushLog();
+    configured = true;
+    path.setReady(true);
+    logReadiness();
+  }
+  void apply(TimePoint /*now*/, uint64_t /*version*/, const Service& service) {
+    director.setService(service);
+  }
+  void apply(TimePoint now, uint64_t version, const HostPool& pool) {
+    logHosts(now, director.setPool(now, pool, version));
   }
-  void apply(TimePoint /*now*/, const Service& service) { director.setService(service); }
-  void apply(TimePoint now, const HostPool& pool) { director.setPool(now, pool); }
-  void apply(TimePoint now, const ObjectGone& gone) {
+  void apply(TimePoint now, uint64_t version, const ObjectGone& gone) {
     if (gone.collection == Collection::kHostPools) {
-      director.removePool(now, gone.name);
+      logHosts(now, director.removePool(now, gone.name, version));
     } else {
       director.removeService(gone.name);
     }
   }
 
+  /** The first catalogue is told by its counts alone. */
+  void logHosts(TimePoint now, const std::vector<HostChange>& changes) {
+    for (const HostChange& change : changes) {
+      if (configured && flowLog.admit(now, LineKind::kBelief)) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO)
+            << "event=host_" << toString(change.kind) << " pool=" << change.pool
+            << " host=" << change.host.name << " endpoint=" << toString(change.host.endpoint)
+            << " zone=" << change.host.zone;
+      }
+    }
+  }
+
+  /** Says when the answer to the readiness question changes. */
+  void logReadiness() {
+    if (ready() == wasReady) {
+      return;
+    }
+    wasReady = ready();
+    LOG(INFO) << "event=" << (wasReady ? "ready" : "not_ready") << " stopping=" << stopping
+              << " services=" << director.serviceCount() << " hosts=" << director.listedHostCount();
+  }
+
   bool ready() const { return configured && !stopping && director.listedHostCount() > 0; }
 
+  void takeSignals() {
+    uint64_t count = 0;
+    [[maybe_unused]] const ssize_t taken = ::read(signalDescriptor, &count, sizeof count);
+    if (reloadAsked.exchange(false)) {
+      reload("signal");
+    }
+    if (stopAsked && !stopping) {
+      beginStop();
+    }
+  }
+
+  void watchSettings() {
+    loop.at(steadyNow() + kSettingsInterval, [this] {
+      if (hooks.settingsChanged()) {
+        reload("file");
+      }
+      watchSettings();
+    });
+  }
+
+  void reload(const char* cause) {
+    if (!hooks.readSettings) {
+      return;
+    }
+    const auto read = hooks.readSettings();
+    if (!isOk(read)) {
+      ++reloads.refused;
+      LOG(WARNING) << "event=reload_refused cause=" << cause << " detail=\""
+                   << describe(errorOf(read)) << "\"";
+      return;
+    }
+    ++reloads.taken;
+    const TokenNodeSettings& fresh = valueOf(read);
+    std::string applied;
+    std::string later;
+    for (const SettingChange& change : settingChanges(settings, fresh)) {
+      std::string& keys = change.whileRunning ? applied : later;
+      keys += (keys.empty() ? "" : ",") + change.key;
+    }
+    settings.flowLifeSeconds = fresh.flowLifeSeconds;
+    settings.lingerMilliseconds = fresh.lingerMilliseconds;
+    settings.requestHeader = fresh.requestHeader;
+    director.setFlowLife(std::chrono::seconds(settings.flowLifeSeconds));
+    flowLog.setRequestHeader(settings.requestHeader);
+    LOG(INFO) << "event=reloaded cause=" << cause
+              << " applied=" << (applied.empty() ? "none" : applied)
+              << " at_next_start=" << (later.empty() ? "none" : later);
+  }
+
   void beginStop() {
-    loop.forget(stopDescriptor);
     stopping = true;
-    LOG(INFO) << "event=stopping";
+    LOG(INFO) << "event=stopping linger_ms=" << settings.lingerMilliseconds;
+    logReadiness();
     loop.at(steadyNow() + std::chrono::milliseconds(settings.lingerMilliseconds),
             [this] { loop.stop(); });
   }
 
+  std::optional<TextAnswer> answerMetrics(const std::string& asked) const {
+    if (asked != settings.metricsPath) {
+      return std::nullopt;
+    }
+    const TokenNodeMetrics metrics{
+        steadyNow(),
+        ready(),
+        director.serviceCount(),
+        director.listedHostCount(),
+        path.counters(),
+        port->counters(),
+        flowLog.counters(),
+        flowLog.budget(),
+        hooks.log == nullptr ? LineCounters{} : hooks.log->output().counters(),
+        packetTimes,
+        changeTimes,
+        hooks.storeStatus ? std::optional(hooks.storeStatus()) : std::nullopt,
+        reloads};
+    return TextAnswer{true, kMetricsType, renderMetrics(metrics, readProcessUsage())};
+  }
+
   void logEnd() const {
     const PacketCounters& counters = path.counters();
     uint64_t dropped = 0;
@@ -114,7 +250,8 @@
               << " dropped=" << dropped;
   }
 
-  const TokenNodeSettings settings;
+  TokenNodeSettings settings;
+  const TokenNodeHooks hooks;
   RandomSource random{randomSeed()};
   PollLoop loop;
   LoopMailbox mailbox;
@@ -122,11 +259,23 @@
   TokenDirector director;
   DirectOutput output;
   PacketPath path;
-  std::unique_ptr<ReadinessPort> readiness;
+  FlowLog flowLog;
+  prometheus::Histogram packetTimes = makePacketTimes();
+  prometheus::Histogram changeTimes = makeChangeTimes();
+  ReloadCounters reloads;
+  std::unique_ptr<PollHttpPort> readiness;
+  /** Not there where the settings give no address. */
+  std::unique_ptr<PollHttpPort> metricsPort;
   std::unique_ptr<CatalogReader> reader;
-  const int stopDescriptor;
+  /** Wakes the loop for stopAsked and reloadAsked. */
+  const int signalDescriptor;
+  std::atomic<bool> stopAsked{false};
+  std::atomic<bool> reloadAsked{false};
+  bool flushPlanned = false;
   bool configured = false;
   bool stopping = false;
+  /** What logReadiness() last said. */
+  bool wasReady = false;
 };
 
 TokenNode::TokenNode(std::unique_ptr<Parts> parts) : parts_(std::move(parts)) {}
@@ -137,19 +286,31 @@
 
 Result<std::unique_ptr<TokenNode>, PortError> TokenNode::create(const TokenNodeSettings& settings,
                                                                 const PacketFormat& format,
-                                                                PlatformStore& store) {
+                                                                PlatformStore& store,
+                                                                TokenNodeHooks hooks) {
   auto port = UdpPort::open(settings.data);
   if (!isOk(port)) {
     return errorOf(port);
   }
-  auto parts = std::make_unique<Parts>(settings, format, std::move(valueOf(port)));
+  auto parts =
+      std::make_unique<Parts>(settings, format, std::move(hooks), std::move(valueOf(port)));
   Parts* const shared = parts.get();
-  auto readiness = ReadinessPort::open(settings.readiness, parts->loop, settings.readinessPath,
-                                       [shared] { return shared->ready(); });
+  auto readiness = PollHttpPort::open(
+      settings.readiness, parts->loop,
+      readinessResponder(settings.readinessPath, [shared] { return shared->ready(); }));
   if (!isOk(readiness)) {
     return errorOf(readiness);
   }
   parts->readiness = std::move(valueOf(readiness));
+  if (settings.metrics != Endpoint{}) {
+    auto metrics = PollHttpPort::open(
+        settings.metrics, parts->loop,
+        [shared](const std::string& path) { return shared->answerMetrics(path); });
+    if (!isOk(metrics)) {
+      return errorOf(metrics);
+    }
+    parts->metricsPort = std::move(valueOf(metrics));
+  }
   parts->reader = std::make_unique<CatalogReader>(store, [shared](CatalogChanges changes) {
     shared->mailbox.post([shared, news = std::move(changes)] { shared->take(news); });
   });
@@ -162,14 +323,25 @@
 }
 
 void TokenNode::stop() {
+  parts_->stopAsked = true;
   const uint64_t one = 1;
-  [[maybe_unused]] const ssize_t written = ::write(parts_->stopDescriptor, &one, sizeof one);
+  [[maybe_unused]] const ssize_t written = ::write(parts_->signalDescriptor, &one, sizeof one);
+}
+
+void TokenNode::reload() {
+  parts_->reloadAsked = true;
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t written = ::write(parts_->signalDescriptor, &one, sizeof one);
 }
 
 Endpoint TokenNode::readiness() const {
   return parts_->readiness->local();
 }
 
+Endpoint TokenNode::metrics() const {
+  return parts_->metricsPort ? parts_->metricsPort->local() : Endpoint{};
+}
+
 Endpoint TokenNode::data() const {
   return parts_->port->local();
 }
--- a/source/common/server/token_node.h
+++ b/source/common/server/token_node.h
@@ -1,26 +1,42 @@
 /**
- * @file A node with the strategy "token" as a process: one thread for packets and readiness, fed
- * by a CatalogReader. It holds no flow state, talks to no other node and wakes only for work.
+ * @file A node with the strategy "token" as a process: one thread for packets, readiness and
+ * metrics, fed by a CatalogReader. It holds no flow state, talks to no other node and wakes only
+ * for work, and every few seconds to look at its settings file.
  */
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "common/base/result.h"
 #include "common/config/token_node_settings.h"
+#include "common/log/structured_log.h"
 #include "common/packet/packet_format.h"
 #include "common/platform/platform_store.h"
+#include "common/platform/store_read_status.h"
 #include "common/server/udp_port.h"
 
 namespace umberhold {
 
+/** What a program may give its node besides; each may be empty. Called on the loop's thread. */
+struct TokenNodeHooks {
+  /** Borrowed. Without it, decisions are counted and not logged. */
+  StructuredLog* log = nullptr;
+  std::function<StoreReadStatus()> storeStatus;
+  /** Reads the settings anew; without it reload() does nothing. */
+  std::function<Result<TokenNodeSettings, SettingsError>()> readSettings;
+  /** Whether the settings have changed without reload() being called; asked every few seconds. */
+  std::function<bool()> settingsChanged;
+};
+
 /** See the file comment. */
 class TokenNode {
  public:
   /** Opens the ports. @param format, store borrowed; they must outlive the node. */
   static Result<std::unique_ptr<TokenNode>, PortError> create(const TokenNodeSettings& settings,
                                                               const PacketFormat& format,
-                                                              PlatformStore& store);
+                                                              PlatformStore& store,
+                                                              TokenNodeHooks hooks = {});
   ~TokenNode();
 
   /**
@@ -29,10 +45,15 @@
   void run();
   /** Begins the end. Async-signal safe. */
   void stop();
+  /** Has the settings read anew: checked, then applied as far as a running node can, or refused as
+   * a whole. Async-signal safe. */
+  void reload();
   /** @return where packets are taken. */
   Endpoint data() const;
   /** @return where readiness is answered. */
   Endpoint readiness() const;
+  /** @return where metrics are answered; port 0 where the settings give no address. */
+  Endpoint metrics() const;
 
  private:
   struct Parts;
--- a/source/common/shard/local_shard_packets.cc
+++ b/source/common/shard/local_shard_packets.cc
@@ -163,7 +163,8 @@
       return placeNew(now, packet);
     }
     const bool silent = packet.phase == PacketPhase::kReset;
-    return silent ? FlowDecision{DropPacket{DropReason::kHostGone}} : FlowDecision{RefuseFlow{}};
+    return silent ? FlowDecision{DropPacket{DropReason::kHostGone}}
+                  : FlowDecision{RefuseFlow{RefusalReason::kHostEnded}};
   }
   if (packet.phase == PacketPhase::kReset) {
     return forward(*slot);
--- a/test/common/config/token_node_settings_test.cc
+++ b/test/common/config/token_node_settings_test.cc
@@ -13,6 +13,9 @@
 data = "10.1.0.10:8172"
 readiness = "10.1.0.10:8167"
 readiness_path = "/ready"
+metrics = "10.1.0.10:9464"
+metrics_path = "/figures"
+request_header = "X-Request"
 store = "10.200.1.7:8169"
 flow_life_seconds = 90
 linger_milliseconds = 3000
@@ -45,12 +48,34 @@
   CHECK_TRUE(read.data == (Endpoint{0x0A01000A, 8172}));
   CHECK_TRUE(read.readiness == (Endpoint{0x0A01000A, 8167}));
   STRCMP_EQUAL("/ready", read.readinessPath.c_str());
+  CHECK_TRUE(read.metrics == (Endpoint{0x0A01000A, 9464}));
+  STRCMP_EQUAL("/figures", read.metricsPath.c_str());
+  STRCMP_EQUAL("X-Request", read.requestHeader.c_str());
   CHECK_TRUE(read.store == (Endpoint{0x0AC80107, 8169}));
   CHECK_EQUAL(90, read.flowLifeSeconds);
   CHECK_EQUAL(3000, read.lingerMilliseconds);
 }
 
+TEST(TokenNodeSettings, LeavesOutWhatIsNotRequired) {
+  const auto settings = parseTokenNodeSettings(with("metrics = \"10.1.0.10:9464\"\n", ""));
+  CHECK_TRUE(isOk(settings));
+  CHECK_TRUE(valueOf(settings).metrics == Endpoint{});
+}
+
+TEST(TokenNodeSettings, SaysWhichChangesARunningNodeTakes) {
+  const TokenNodeSettings before = valueOf(parseTokenNodeSettings(kComplete));
+  TokenNodeSettings after = before;
+  CHECK_TRUE(settingChanges(before, after).empty());
+  after.zone = "piassa";
+  after.flowLifeSeconds = 30;
+  after.lingerMilliseconds = 10;
+  const std::vector<SettingChange> expected = {
+      {"zone", false}, {"flow_life_seconds", true}, {"linger_milliseconds", true}};
+  CHECK_TRUE(settingChanges(before, after) == expected);
+}
+
 TEST(TokenNodeSettings, NamesTheFault) {
+  checkRefused(SettingsErrorCode::kWrongType, "metrics", with("10.1.0.10:9464", "9464"));
   checkRefused(SettingsErrorCode::kSyntax, "", "node = ");
   checkRefused(SettingsErrorCode::kUnknownKey, "zones", with("zone =", "zones = \"x\"\nzone ="));
   checkRefused(SettingsErrorCode::kMissingKey, "zone", with("zone = \"bole\"\n", ""));
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/flow/token_director_test.cc
@@ -205,6 +205,49 @@
   CHECK_TRUE(isDropped(open(1)));
 }
 
+TEST(TokenDirector, SaysWhatDecidedAPlacement) {
+  director.setPool(now, {"dispatch", {makeHost(1), makeHost(3, "piassa")}}, 12);
+  now += seconds(2);  // Host 2 has left, and is no last resort any more.
+  const auto opened = std::get<ForwardToHost>(open(1));
+  CHECK_TRUE(opened.label.name == "h-1");
+  CHECK_TRUE(opened.label.pool == "dispatch");
+  const PlacementEvidence& evidence = *opened.placement;
+  CHECK_TRUE(evidence.service == "pickup");
+  CHECK_TRUE(evidence.ownZone);
+  CHECK_FALSE(evidence.silent || evidence.vanished || evidence.leavesZone);
+  CHECK_TRUE(evidence.avoidedHost.empty());
+  LONGS_EQUAL(2, evidence.candidates);
+  LONGS_EQUAL(12, evidence.poolVersion);
+  CHECK_TRUE(now - evidence.poolAppliedAt == seconds(2));
+  const auto repeated = std::get<ForwardToHost>(open(1));
+  CHECK_TRUE(repeated.placement->avoidedHost == "h-1");
+  CHECK_FALSE(repeated.placement->ownZone);
+  CHECK_TRUE(std::get<ForwardToHost>(next(1, repeated.token)).placement == nullptr);
+}
+
+TEST(TokenDirector, SaysWhatChangedForItsHosts) {
+  HostSpec draining = makeHost(2);
+  draining.state = HostState::kDraining;
+  const auto kindsOf = [](const std::vector<HostChange>& changes) {
+    std::string kinds;
+    for (const HostChange& change : changes) {
+      kinds += change.host.name + " " + std::string(toString(change.kind)) + ";";
+    }
+    return kinds;
+  };
+  STRCMP_EQUAL("",
+               kindsOf(director.setPool(now, {"dispatch", {makeHost(1), makeHost(2)}})).c_str());
+  STRCMP_EQUAL(
+      "h-2 draining;h-3 added;",
+      kindsOf(director.setPool(now, {"dispatch", {makeHost(1), draining, makeHost(3)}})).c_str());
+  STRCMP_EQUAL("h-2 active;h-1 left;",
+               kindsOf(director.setPool(now, {"dispatch", {makeHost(2), makeHost(3)}})).c_str());
+  STRCMP_EQUAL("h-1 added;",
+               kindsOf(director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}}))
+                   .c_str());
+  LONGS_EQUAL(3, director.removePool(now, "dispatch").size());
+}
+
 TEST(TokenDirector, FindsServicesByTheirAddressUntilTheyGo) {
   CHECK_TRUE(director.find(kAddress, kPort, TransportProtocol::kTcp).has_value());
   CHECK_FALSE(director.find(kAddress, 80, TransportProtocol::kTcp).has_value());
--- /dev/null
+++ b/test/platform/packet/flow_log_test.cc
@@ -0,0 +1,203 @@
+/** @file Lines and counts of decisions, written to a sink that keeps them. */
+#include "common/server/flow_log.h"
+
+#include <string>
+#include <vector>
+
+#include "common/flow/token_director.h"
+#include "common/packet/packet_path.h"
+#include "platform/packet/echo_format.h"
+#include "test/support/without_leak_detection.h"
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+constexpr uint8_t kSyn = 128;
+constexpr uint8_t kAck = 2;
+constexpr uint8_t kRst = 4;
+constexpr uint32_t kService = 0xC6120001;
+
+class KeepingSink : public google::LogSink {
+ public:
+  using google::LogSink::send;
+  void send(google::LogSeverity /*severity*/, const char* /*fullFilename*/,
+            const char* /*baseFilename*/, int /*line*/, const google::LogMessageTime& /*time*/,
+            const char* message, size_t length) override {
+    lines.emplace_back(message, length);
+  }
+
+  std::vector<std::string> lines;
+};
+
+class NoOutput : public PacketOutput {
+ public:
+  void toHost(const Endpoint& /*host*/, std::string_view /*packet*/) override {}
+  void toNode(const Endpoint& /*relay*/, std::string_view /*packet*/) override {}
+  void toCaller(const Endpoint& /*caller*/, std::string_view /*packet*/) override {}
+};
+
+void put(std::string& packet, size_t offset, uint64_t value, size_t bytes) {
+  for (size_t index = 0; index < bytes; ++index) {
+    packet[offset + bytes - 1 - index] = static_cast<char>((value >> (8 * index)) & 0xFFU);
+  }
+}
+
+std::string packetOf(uint8_t flags, uint32_t token, const std::string& data = "",
+                     uint16_t callerPort = 40001, uint16_t port = 8000) {
+  std::string packet(31, '\0');
+  put(packet, 4, flags, 1);
+  put(packet, 5, token, 4);
+  put(packet, 17, callerPort, 2);
+  put(packet, 19, port, 2);
+  put(packet, 21, 0x64400007, 4);
+  put(packet, 25, kService, 4);
+  put(packet, 29, data.size(), 2);
+  return packet + data;
+}
+
+HostSpec makeHost(uint64_t number, const std::string& zone) {
+  HostSpec host;
+  host.name = "h-" + std::to_string(number);
+  host.endpoint = {0x0A800000 + static_cast<uint32_t>(number), 8080};
+  host.zone = zone;
+  host.incarnation = number;
+  return host;
+}
+
+}  // namespace
+
+TEST_GROUP_BASE(FlowLog, test::WithoutLeakDetection) {
+  RandomSource random{7};
+  TokenDirector director{{"bole", seconds(60)}, random};
+  NoOutput output;
+  platform::EchoFormat format;
+  PacketPath path{director, director, output, format};
+  KeepingSink sink;
+  FlowLog log{&sink, format, "X-Request"};
+  TimePoint now = kStart;
+
+  void setup() override {
+    path.setObserver(&log);
+    path.setReady(true);
+    path.setRefuseUnknownServices(true);
+    Service service;
+    service.name = "pickup";
+    service.address = kService;
+    service.port = 8000;
+    service.groups = {{"dispatch", 1}};
+    director.setService(service);
+    setHosts({makeHost(1, "bole"), makeHost(2, "piassa")});
+  }
+  void setHosts(const std::vector<HostSpec>& hosts) {
+    director.setPool(now, {"dispatch", hosts}, 57);
+  }
+  void pass(const std::string& packet) { path.onPacket(now, PacketSource::kFabric, packet); }
+  /** @return the last line, or empty. */
+  std::string last() const { return sink.lines.empty() ? "" : sink.lines.back(); }
+  void checkLast(const std::string& expected) const {
+    STRCMP_EQUAL(expected.c_str(), last().c_str());
+  }
+};
+
+TEST(FlowLog, TellsWhatDecidedAPlacement) {
+  now += milliseconds(1200);
+  pass(packetOf(kSyn, 0));
+  checkLast(
+      "event=flow_placed flow=100.64.0.7:40001>198.18.0.1:8000 service=pickup pool=dispatch "
+      "host=h-1 endpoint=10.128.0.1:8080 avoided=- zone=own leaves_zone=0 silent=0 vanished=0 "
+      "load=0.0 weight=100 candidates=2 catalogue=57 age_ms=1200");
+  LONGS_EQUAL(1, log.counters().openedByPool.at("dispatch").ownZone);
+}
+
+TEST(FlowLog, TellsOfARepeatedOpeningAndTheHostThatWasAvoided) {
+  pass(packetOf(kSyn, 0));
+  now += milliseconds(200);
+  pass(packetOf(kSyn, 0));
+  STRCMP_CONTAINS("event=opening_repeated", last().c_str());
+  STRCMP_CONTAINS("host=h-2 endpoint=10.128.0.2:8080 avoided=h-1 zone=other", last().c_str());
+  LONGS_EQUAL(1, log.counters().repeatedOpenings);
+}
+
+TEST(FlowLog, TiesARequestToItsFlowAndHost) {
+  const std::string request = "GET / HTTP/1.1\r\nX-Request: q-77\r\n\r\n";
+  pass(packetOf(kAck, flowTokenOf(2), request));
+  checkLast(
+      "event=request request=q-77 flow=100.64.0.7:40001>198.18.0.1:8000 pool=dispatch host=h-2 "
+      "endpoint=10.128.0.2:8080");
+  pass(packetOf(kAck, flowTokenOf(2)));
+  LONGS_EQUAL(1, sink.lines.size());
+  LONGS_EQUAL(1, log.counters().requests);
+}
+
+TEST(FlowLog, TellsDropsWithTheirReasonAndRequest) {
+  pass(packetOf(kAck, 12345, "GET / HTTP/1.1\r\nX-Request: q-1\r\n\r\n"));
+  checkLast(
+      "event=packet_dropped reason=host_gone flow=100.64.0.7:40001>198.18.0.1:8000 "
+      "phase=continuing token=12345 request=q-1");
+  pass("short");
+  checkLast("event=packet_dropped reason=truncated bytes=5");
+  path.setReady(false);
+  pass(packetOf(kSyn, 0));
+  checkLast(
+      "event=packet_dropped reason=not_ready flow=100.64.0.7:40001>198.18.0.1:8000 phase=opening "
+      "token=0 request=-");
+}
+
+TEST(FlowLog, TellsRefusalsWithTheirReason) {
+  pass(packetOf(kSyn, 0, "", 40001, 9));
+  checkLast(
+      "event=flow_refused reason=unknown_service flow=100.64.0.7:40001>198.18.0.1:9 phase=opening "
+      "request=-");
+  setHosts({});
+  now += seconds(2);
+  pass(packetOf(kSyn, 0));
+  STRCMP_CONTAINS("event=flow_refused reason=no_host", last().c_str());
+  HostSpec successor = makeHost(3, "bole");
+  successor.endpoint = makeHost(1, "bole").endpoint;
+  setHosts({successor});
+  pass(packetOf(kAck, flowTokenOf(1)));
+  STRCMP_CONTAINS("event=flow_refused reason=host_ended", last().c_str());
+  LONGS_EQUAL(1, log.counters().refused[static_cast<size_t>(RefusalReason::kHostEnded)]);
+}
+
+TEST(FlowLog, TellsWhenACallerGivesUp) {
+  pass(packetOf(kRst, flowTokenOf(1)));
+  STRCMP_CONTAINS("event=caller_reset", last().c_str());
+  LONGS_EQUAL(1, log.counters().callerResets);
+}
+
+TEST(FlowLog, CountsWhatItsBudgetSuppressesAndSaysSo) {
+  for (uint16_t port = 1; port <= 5000; ++port) {
+    pass(packetOf(kSyn, 0, "", port));
+  }
+  CHECK_TRUE(sink.lines.size() < 1000);
+  const uint64_t suppressed = log.budget().suppressed(LineKind::kPlacement);
+  CHECK_TRUE(suppressed > 4000);
+  // A failure has a budget of its own.
+  pass(packetOf(kSyn, 0, "", 40001, 9));
+  STRCMP_CONTAINS("event=flow_refused", last().c_str());
+  now += seconds(1);
+  pass(packetOf(kSyn, 0, "", 6000));
+  const std::string before = sink.lines[sink.lines.size() - 2];
+  STRCMP_EQUAL(
+      ("event=lines_suppressed kind=placement count=" + std::to_string(suppressed)).c_str(),
+      before.c_str());
+  STRCMP_CONTAINS("event=flow_placed", last().c_str());
+}
+
+TEST(FlowLog, CountsWithoutASink) {
+  FlowLog silent(nullptr, format, "X-Request");
+  path.setObserver(&silent);
+  pass(packetOf(kSyn, 0));
+  LONGS_EQUAL(0, sink.lines.size());
+  LONGS_EQUAL(1, silent.counters().openedByPool.at("dispatch").ownZone);
+}
+
+}  // namespace umberhold
+
+// Last, because its macros replace operator new.
+#include <CppUTest/TestHarness.h>
--- a/test/platform/store/edge_node_test.cc
+++ b/test/platform/store/edge_node_test.cc
@@ -2,13 +2,18 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
 #include <thread>
 
 #include "common/flow/token_director.h"
+#include "common/log/structured_log.h"
 #include "common/platform/steady_now.h"
 #include "common/server/token_node.h"
 #include "platform/packet/echo_format.h"
@@ -74,20 +79,41 @@
   std::unique_ptr<TokenNode> node;
   std::thread thread;
   Endpoint readiness;
+  /** What the node reads when it is told to reload. */
+  std::atomic<bool> settingsAreFaulty{false};
 
-  void setup() override {
-    ObjectStoreOptions options;
-    options.address = store->address();
-    options.region = "addis";
-    adapter = std::make_unique<ObjectStoreAdapter>(options);
+  TokenNodeSettings settingsOf() const {
     TokenNodeSettings settings;
     settings.zone = "bole";
     settings.region = "addis";
     settings.data = kAnyPort;
     settings.readiness = kAnyPort;
     settings.readinessPath = "/api/readiness";
+    settings.metrics = kAnyPort;
+    settings.metrics.address = 0x7F000003;
     settings.lingerMilliseconds = 1500;
-    node = std::move(valueOf(TokenNode::create(settings, format, *adapter)));
+    return settings;
+  }
+  TokenNodeHooks hooksOf() {
+    TokenNodeHooks hooks;
+    hooks.storeStatus = [this] { return adapter->status(); };
+    hooks.readSettings = [this]() -> Result<TokenNodeSettings, SettingsError> {
+      if (settingsAreFaulty) {
+        return SettingsError{SettingsErrorCode::kMissingKey, "zone", 0, "must be set"};
+      }
+      TokenNodeSettings changed = settingsOf();
+      changed.lingerMilliseconds = 1;
+      return changed;
+    };
+    return hooks;
+  }
+
+  void setup() override {
+    ObjectStoreOptions options;
+    options.address = store->address();
+    options.region = "addis";
+    adapter = std::make_unique<ObjectStoreAdapter>(options);
+    node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooksOf())));
     readiness = node->readiness();
     thread = std::thread([this] { node->run(); });
   }
@@ -103,14 +129,34 @@
     store->objects().set("servers", "i-7f3a91c2", hostEntry(host->local()));
     store->objects().set("config", "main", kConfiguration);
   }
-  /** @return the status of a request for readiness. */
-  int askReadiness(const std::string& path = "/api/readiness") const {
-    Poco::Net::HTTPClientSession session(addressToString(readiness.address), readiness.port);
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+
+  static Answer ask(const Endpoint& port, const std::string& path) {
+    Poco::Net::HTTPClientSession session(addressToString(port.address), port.port);
     Poco::Net::HTTPRequest request("GET", path, "HTTP/1.1");
     session.sendRequest(request);
     Poco::Net::HTTPResponse response;
-    session.receiveResponse(response);
-    return response.getStatus();
+    Answer answer;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), answer.body);
+    answer.status = response.getStatus();
+    return answer;
+  }
+  /** @return the status of a request for readiness. */
+  int askReadiness(const std::string& path = "/api/readiness") const {
+    return ask(readiness, path).status;
+  }
+  bool awaitMetric(const std::string& line) const {
+    const TimePoint deadline = steadyNow() + kLongest;
+    while (steadyNow() < deadline) {
+      if (ask(node->metrics(), "/metrics").body.find("\n" + line + "\n") != std::string::npos) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
   }
   bool awaitReadiness(int status) const {
     const TimePoint deadline = steadyNow() + kLongest;
@@ -168,3 +214,66 @@
   LONGS_EQUAL(31, reset.size());
   LONGS_EQUAL(4, reset[kFlagsAt]);
 }
+
+TEST(EdgeNode, ShowsItsFiguresAtTheMetricsPath) {
+  configure();
+  CHECK_TRUE(awaitReadiness(200));
+  pass(packetOf(kSyn, 0));
+  CHECK_TRUE(awaitMetric(R"(umberhold_opened_flows_total{pool="s-one",zone="own"} 1)"));
+  const Answer answer = ask(node->metrics(), "/metrics?at=now");
+  CHECK_EQUAL(200, answer.status);
+  for (const char* line :
+       {"umberhold_ready 1", "umberhold_config_version 3", "umberhold_hosts 1",
+        R"(umberhold_packets_total{decision="forwarded"} 1)", "umberhold_packet_seconds_count 1",
+        R"(umberhold_store_calls_total{outcome="failed"} 0)", "umberhold_store_failing 0"}) {
+    STRCMP_CONTAINS(line, answer.body.c_str());
+  }
+  CHECK_EQUAL(404, ask(node->metrics(), "/other").status);
+  CHECK_EQUAL(404, ask(node->metrics(), "/").status);
+}
+
+TEST(EdgeNode, TakesWhatItCanOfNewSettingsAndRefusesFaultyOnes) {
+  configure();
+  CHECK_TRUE(awaitReadiness(200));
+  settingsAreFaulty = true;
+  node->reload();
+  CHECK_TRUE(awaitMetric(R"(umberhold_settings_reloads_total{result="refused"} 1)"));
+  settingsAreFaulty = false;
+  node->reload();
+  CHECK_TRUE(awaitMetric(R"(umberhold_settings_reloads_total{result="taken"} 1)"));
+  CHECK_EQUAL(200, askReadiness());
+}
+
+/** The log's pipe is full and nobody reads it: packets and questions are answered all the same. */
+TEST(EdgeNode, GoesOnForwardingWhileNobodyReadsItsLog) {
+  std::array<int, 2> ends{-1, -1};
+  LONGS_EQUAL(0, ::pipe(ends.data()));
+  StructuredLog log("edge_node_test", ends[1]);
+  node->stop();
+  thread.join();
+  node.reset();
+  TokenNodeHooks hooks = hooksOf();
+  hooks.log = &log;
+  node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooks)));
+  readiness = node->readiness();
+  thread = std::thread([this] { node->run(); });
+  configure();
+  CHECK_TRUE(awaitReadiness(200));
+  const std::string filler(1000, 'x');
+  while (log.output().counters().lost == 0) {
+    LOG(INFO) << "event=filler text=" << filler;
+  }
+  const uint64_t lost = log.output().counters().lost;
+  for (uint16_t port = 1; port <= 50; ++port) {
+    CHECK_FALSE(pass(packetOf(kSyn, 0)).empty());
+  }
+  CHECK_EQUAL(200, askReadiness());
+  CHECK_TRUE(log.output().counters().lost > lost);
+  node->stop();
+  thread.join();
+  thread = std::thread([] {});
+  node.reset();
+  node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooksOf())));
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -118,12 +118,12 @@
   }
   /** An outage that the adapter sees, of a store that forgets every host meanwhile. */
   void outage(test::StoreMood mood) {
-    const uint64_t failures = adapter->counters().failures;
+    const uint64_t failures = adapter->status().failures;
     setMood(mood);
     for (int index = 1; index <= 4; ++index) {
       store->objects().remove("servers", "i-" + std::to_string(index), 0);
     }
-    CHECK_TRUE(follow([this, failures] { return adapter->counters().failures > failures + 2; }));
+    CHECK_TRUE(follow([this, failures] { return adapter->status().failures > failures + 2; }));
     LONGS_EQUAL(4, active());
     setMood(test::StoreMood::kAnswering);
   }
@@ -225,7 +225,7 @@
   const uint64_t connections = store->calls().connections;
   setMood(test::StoreMood::kReset);
   setHost(5);
-  CHECK_TRUE(follow([this] { return adapter->counters().failures > 2; }));
+  CHECK_TRUE(follow([this] { return adapter->status().failures > 2; }));
   setMood(test::StoreMood::kAnswering);
   CHECK_TRUE(followToActive(5));
   CHECK_TRUE(store->calls().connections > connections);
@@ -239,7 +239,7 @@
   start();
   setHost(3);
   CHECK_TRUE(followToActive(3));
-  CHECK_TRUE(adapter->counters().failures > 0);
+  CHECK_TRUE(adapter->status().failures > 0);
 }
 
 TEST(ObjectStoreAdapter, ServesFromASlowStore) {
@@ -250,7 +250,7 @@
   start();
   setHost(3);
   CHECK_TRUE(followToActive(3));
-  LONGS_EQUAL(0, adapter->counters().failures);
+  LONGS_EQUAL(0, adapter->status().failures);
 }
 
 TEST(ObjectStoreAdapter, KeepsTheLastReadableVersionOfAnObject) {
@@ -261,7 +261,7 @@
   setHost(3);
   CHECK_TRUE(followToActive(3));
   LONGS_EQUAL(1, services.size());
-  CHECK_TRUE(follow([this] { return adapter->counters().unreadable == 2; }));
+  CHECK_TRUE(follow([this] { return adapter->status().unreadable == 2; }));
 }
 
 TEST(ObjectStoreAdapter, RefusesChanges) {
