Probe the store; make watches anew that a silent store never answers

A store that falls silent keeps its connections and never answers what it was asked meanwhile; a watch asked in the silence waits out its 30 s, while hosts drain and versions pass by.

Ruled out: the cut of front-hbt-d-14 (other nodes broke the rule too), slow application (0.7 to 15 ms after the watch's answer), TCP's own probes (the store's machine acknowledges them).

Chosen: a read of a name that no object has, stale=1, every 1.5 s with 1 s of patience; once it is answered again after a silence, waiting watches are ended and made anew, and the silence counts as an outage for hosts whose entries vanish.

--- a/source/common/config/token_node_settings.cc
+++ b/source/common/config/token_node_settings.cc
@@ -12,6 +12,7 @@
 
 constexpr int64_t kLongestFlowLifeSeconds = 86400;
 constexpr int64_t kLongestLingerMilliseconds = 60000;
+constexpr int64_t kLongestBoundMilliseconds = 60000;
 
 /** Takes values out of a table; keeps the first fault. */
 class TableReader {
@@ -106,6 +107,10 @@
     reader.text("metrics_path", settings.metricsPath, false);
     reader.text("request_header", settings.requestHeader, false);
     reader.endpoint("store", settings.store);
+    reader.number("change_bound_milliseconds", settings.changeBoundMilliseconds,
+                  kLongestBoundMilliseconds);
+    reader.number("drain_bound_milliseconds", settings.drainBoundMilliseconds,
+                  kLongestBoundMilliseconds);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kLongestFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kLongestLingerMilliseconds);
     reader.refuseOtherKeys();
@@ -138,6 +143,8 @@
   compare("metrics_path", &S::metricsPath, false);
   compare("request_header", &S::requestHeader, true);
   compare("store", &S::store, false);
+  compare("change_bound_milliseconds", &S::changeBoundMilliseconds, false);
+  compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
   compare("linger_milliseconds", &S::lingerMilliseconds, true);
   return changes;
--- a/source/common/config/token_node_settings.h
+++ b/source/common/config/token_node_settings.h
@@ -30,6 +30,10 @@
   std::string requestHeader;
   /** The platform's store. */
   Endpoint store;
+  /** A change of services must be in force this long after the store has it, milliseconds. */
+  uint32_t changeBoundMilliseconds = 3000;
+  /** A host that drains must get no new flow this long after the store has it, milliseconds. */
+  uint32_t drainBoundMilliseconds = 3000;
   /** No flow lives longer, seconds. */
   uint32_t flowLifeSeconds = 60;
   /** How long packets are still forwarded after SIGTERM, milliseconds. */
--- a/source/common/log/line_budget.h
+++ b/source/common/log/line_budget.h
@@ -1,6 +1,6 @@
 /**
- * @file How many lines of each kind a process may log, so that a flood can neither fill the disks of
- * those who collect them nor crowd out the lines that explain failures.
+ * @file How many lines of each kind a process may log, so that a flood can neither fill the disks
+ * of those who collect them nor crowd out the lines that explain failures.
  *
  * Each kind has a token bucket of its own. Lines beyond it are counted, and the count is handed out
  * with the next line of the kind that is let through. Decision logic without I/O.
@@ -45,8 +45,8 @@
 using LineRates = std::array<LineRate, kLineKinds>;
 
 /** About four times what a node sees on a busy day. */
-constexpr LineRates kUsualLineRates = {
-    LineRate{100, 200}, LineRate{200, 400}, LineRate{100, 400}, LineRate{50, 600}};
+constexpr LineRates kUsualLineRates = {LineRate{100, 200}, LineRate{200, 400}, LineRate{100, 400},
+                                       LineRate{50, 600}};
 
 /** Not thread safe. */
 class LineBudget {
--- a/source/common/log/line_output.cc
+++ b/source/common/log/line_output.cc
@@ -32,13 +32,17 @@
   buffer_.push_back('\n');
 }
 
-size_t LineOutput::room() const {
+size_t LineOutput::room() {
   if (alwaysReady_) {
     return SIZE_MAX;
   }
-  pollfd ready{descriptor_, POLLOUT, 0};
-  // A pipe is writable once it takes PIPE_BUF bytes at once.
-  return ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0 ? PIPE_BUF : 0;
+  if (knownRoom_ == 0) {
+    pollfd ready{descriptor_, POLLOUT, 0};
+    // A pipe is writable once it has a free buffer of PIPE_BUF bytes, which short writes share.
+    const bool writable = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+    knownRoom_ = writable ? PIPE_BUF : 0;
+  }
+  return knownRoom_;
 }
 
 void LineOutput::flush() {
@@ -53,6 +57,7 @@
       break;
     }
     written_ += static_cast<size_t>(count);
+    knownRoom_ -= alwaysReady_ ? 0 : static_cast<size_t>(count);
   }
   buffer_.erase(0, written_);
   written_ = 0;
--- a/source/common/log/line_output.h
+++ b/source/common/log/line_output.h
@@ -30,8 +30,8 @@
   static constexpr size_t kBufferBytes = 256 * 1024;
 
   /**
-   * @param descriptor borrowed; its flags are left alone. A pipe is asked before each write whether
-   * it has room, and given no more than it then takes at once (PIPE_BUF).
+   * @param descriptor borrowed; its flags are left alone, and no other process may write to it. A
+   * pipe is asked whether it has room, and then given no more than it said until it is asked again.
    */
   explicit LineOutput(int descriptor, size_t bufferBytes = kBufferBytes);
 
@@ -45,7 +45,7 @@
 
  private:
   /** @return bytes that can be written now without waiting; 0 for none. */
-  size_t room() const;
+  size_t room();
 
   const int descriptor_;
   const size_t bufferBytes_;
@@ -55,6 +55,8 @@
   std::string buffer_;
   /** Bytes of the buffer that were written already. */
   size_t written_ = 0;
+  /** Bytes that the descriptor surely has room for. */
+  size_t knownRoom_ = 0;
   LineCounters counters_;
 };
 
--- a/source/common/log/structured_log.cc
+++ b/source/common/log/structured_log.cc
@@ -40,8 +40,8 @@
     secondText_ = textOf(second_);
   }
   std::array<char, kFractionBytes> fraction{};
-  const int digits = std::snprintf(fraction.data(), fraction.size(), ".%06dZ ",
-                                   static_cast<int>(time.usec()));
+  const int digits =
+      std::snprintf(fraction.data(), fraction.size(), ".%06dZ ", static_cast<int>(time.usec()));
   text_ = secondText_;
   text_.append(fraction.data(), static_cast<size_t>(digits));
   text_.append("level=").append(levelOf(severity)).append(" ").append(message, length);
--- a/source/common/platform/http_connection.cc
+++ b/source/common/platform/http_connection.cc
@@ -56,6 +56,18 @@
     ++opened;
   }
 
+  /** Call it with the mutex held. */
+  void endCall() {
+    if (!current) {
+      return;
+    }
+    try {
+      current->shutdown();
+    } catch (const Poco::Exception&) {
+      // The peer has closed it already: there is no call to end.
+    }
+  }
+
   void close() {
     const std::lock_guard lock(mutex);
     session.reset();
@@ -104,14 +116,12 @@
 void HttpConnection::abort() {
   const std::lock_guard lock(parts_->mutex);
   parts_->aborted = true;
-  if (!parts_->current) {
-    return;
-  }
-  try {
-    parts_->current->shutdown();
-  } catch (const Poco::Exception&) {
-    // The peer has closed it already: there is no call to end.
-  }
+  parts_->endCall();
+}
+
+void HttpConnection::interrupt() {
+  const std::lock_guard lock(parts_->mutex);
+  parts_->endCall();
 }
 
 uint64_t HttpConnection::connectionsOpened() const {
--- a/source/common/platform/http_connection.h
+++ b/source/common/platform/http_connection.h
@@ -30,7 +30,8 @@
   int probes = 2;
 };
 
-/** At most one call at a time. Not thread safe, but abort() may come from another thread. */
+/** At most one call at a time. Not thread safe, but abort() and interrupt() may come from another
+ * thread. */
 class HttpConnection {
  public:
   HttpConnection(const Endpoint& server, CallLimits limits, SilentPeerLimits silentPeer = {});
@@ -42,6 +43,8 @@
   Result<HttpCallAnswer, StoreError> call(const HttpCall& call);
   /** Ends a call under way and refuses those to come; each of them fails at once. */
   void abort();
+  /** Ends a call under way, which fails; the next one opens a fresh connection. */
+  void interrupt();
   /** @return connections opened so far. */
   uint64_t connectionsOpened() const;
 
--- /dev/null
+++ b/source/common/platform/store_liveness.h
@@ -0,0 +1,56 @@
+/**
+ * @file Whether the store still answers, found out by small calls of its own.
+ *
+ * A waiting watch says nothing for many seconds, whether nothing changes or its answer is lost: a
+ * store that falls silent keeps its connections, and never answers what it was asked meanwhile.
+ * Small probes at a short interval notice the silence; once they are answered again, every call
+ * that was waiting must be made anew. Decision logic without I/O.
+ */
+#pragma once
+
+#include "common/base/random.h"
+#include "common/base/time.h"
+
+namespace umberhold {
+
+/** Pace of the probes. */
+struct StoreLivenessOptions {
+  /** Between probes that are answered. Shorter than any outage that matters. */
+  Duration interval = std::chrono::milliseconds(1500);
+  /** After a probe without an answer. */
+  Duration intervalAfterMiss = std::chrono::milliseconds(300);
+  /** Intervals vary by up to this part, so that nodes that started together don't gather. */
+  double jitter = 0.2;
+};
+
+/** What a probe's end means for calls that wait. */
+enum class WaitingCalls : uint8_t {
+  /** They may go on waiting. */
+  kKeep,
+  /** They may never be answered: end them and make them anew. */
+  kRenew,
+};
+
+/** Not thread safe. */
+class StoreLiveness {
+ public:
+  /** @param random borrowed; must outlive it. */
+  StoreLiveness(TimePoint now, StoreLivenessOptions options, RandomSource& random);
+
+  /** @return when to probe next. */
+  TimePoint nextProbe() const { return nextProbe_; }
+  /** A probe ended. @param answered whether with an answer that a healthy store gives. */
+  WaitingCalls onProbe(TimePoint now, bool answered);
+  /** @return whether the last probe had no answer. */
+  bool isSilent() const { return silent_; }
+
+ private:
+  Duration jittered(Duration interval);
+
+  const StoreLivenessOptions options_;
+  RandomSource& random_;
+  TimePoint nextProbe_;
+  bool silent_ = false;
+};
+
+}  // namespace umberhold
--- a/source/common/server/metric_families.h
+++ b/source/common/server/metric_families.h
@@ -1,4 +1,5 @@
-/** @file Families of metrics in prometheus-cpp's model, as the programs' metrics pages need them. */
+/** @file Families of metrics in prometheus-cpp's model, as the programs' metrics pages need them.
+ */
 #pragma once
 
 #include <prometheus/metric_family.h>
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -65,18 +65,17 @@
     return;
   }
   const StoreReadStatus& store = *metrics.store;
-  families.push_back(counterFamily("umberhold_store_calls_total", "Calls to the store by outcome")
-                         .add(static_cast<double>(store.lists), {metricLabel("outcome", "listed")})
-                         .add(static_cast<double>(store.watches),
-                              {metricLabel("outcome", "watched")})
-                         .add(static_cast<double>(store.failures),
-                              {metricLabel("outcome", "failed")})
-                         .take());
+  families.push_back(
+      counterFamily("umberhold_store_calls_total", "Calls to the store by outcome")
+          .add(static_cast<double>(store.lists), {metricLabel("outcome", "listed")})
+          .add(static_cast<double>(store.watches), {metricLabel("outcome", "watched")})
+          .add(static_cast<double>(store.failures), {metricLabel("outcome", "failed")})
+          .take());
   families.push_back(counterOf("umberhold_store_objects_unreadable_total",
                                "Objects that could not be understood and have no effect",
                                static_cast<double>(store.unreadable)));
-  families.push_back(gaugeOf("umberhold_store_failing", "1 while calls to the store fail",
-                             store.failing ? 1 : 0));
+  families.push_back(
+      gaugeOf("umberhold_store_failing", "1 while calls to the store fail", store.failing ? 1 : 0));
   if (store.lastAnswerAt) {
     families.push_back(gaugeOf("umberhold_store_answer_age_seconds",
                                "Time since the store last answered",
@@ -105,8 +104,7 @@
 }  // namespace
 
 prometheus::Histogram makePacketTimes() {
-  return prometheus::Histogram(
-      {0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.005, 0.02, 0.1});
+  return prometheus::Histogram({0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.005, 0.02, 0.1});
 }
 
 prometheus::Histogram makeChangeTimes() {
@@ -116,10 +114,10 @@
 std::string renderMetrics(const TokenNodeMetrics& metrics, const ProcessUsage& usage) {
   Families families;
   families.push_back(gaugeOf("umberhold_ready", "1 where the node takes packets", metrics.ready));
-  families.push_back(gaugeOf("umberhold_services", "Services in force",
-                             static_cast<double>(metrics.services)));
-  families.push_back(gaugeOf("umberhold_hosts", "Hosts that some pool lists",
-                             static_cast<double>(metrics.hosts)));
+  families.push_back(
+      gaugeOf("umberhold_services", "Services in force", static_cast<double>(metrics.services)));
+  families.push_back(
+      gaugeOf("umberhold_hosts", "Hosts that some pool lists", static_cast<double>(metrics.hosts)));
   addPacketFamilies(metrics.packets, families);
   families.push_back(histogramFamily("umberhold_packet_seconds",
                                      "Time from a datagram's reading to the end of its handling",
--- a/test/common/config/token_node_settings_test.cc
+++ b/test/common/config/token_node_settings_test.cc
@@ -17,6 +17,8 @@
 metrics_path = "/figures"
 request_header = "X-Request"
 store = "10.200.1.7:8169"
+change_bound_milliseconds = 5000
+drain_bound_milliseconds = 4000
 flow_life_seconds = 90
 linger_milliseconds = 3000
 )";
@@ -52,6 +54,8 @@
   STRCMP_EQUAL("/figures", read.metricsPath.c_str());
   STRCMP_EQUAL("X-Request", read.requestHeader.c_str());
   CHECK_TRUE(read.store == (Endpoint{0x0AC80107, 8169}));
+  CHECK_EQUAL(5000, read.changeBoundMilliseconds);
+  CHECK_EQUAL(4000, read.drainBoundMilliseconds);
   CHECK_EQUAL(90, read.flowLifeSeconds);
   CHECK_EQUAL(3000, read.lingerMilliseconds);
 }
--- a/test/common/log/line_budget_test.cc
+++ b/test/common/log/line_budget_test.cc
@@ -9,8 +9,7 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{seconds(1000)};
-constexpr LineRates kRates = {LineRate{10, 20}, LineRate{5, 5}, LineRate{100, 100},
-                              LineRate{1, 1}};
+constexpr LineRates kRates = {LineRate{10, 20}, LineRate{5, 5}, LineRate{100, 100}, LineRate{1, 1}};
 
 int admitted(LineBudget& budget, TimePoint now, LineKind kind, int lines) {
   int count = 0;
--- a/test/common/server/poll_http_port_test.cc
+++ b/test/common/server/poll_http_port_test.cc
@@ -32,7 +32,8 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(server.address);
   address.sin_port = htons(server.port);
-  LONGS_EQUAL(0, ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+  LONGS_EQUAL(0,
+              ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address));
   return descriptor;
 }
 
@@ -92,7 +93,8 @@
 }
 
 TEST(PollHttpPort, RefusesOtherPathsAndMethods) {
-  for (const char* line : {"GET /none HTTP/1.1", "POST /small HTTP/1.1", "GET", "", "GET /small2 x"}) {
+  for (const char* line :
+       {"GET /none HTTP/1.1", "POST /small HTTP/1.1", "GET", "", "GET /small2 x"}) {
     const std::string answer = ask(std::string(line) + "\r\nConnection: close\r\n\r\n");
     STRCMP_CONTAINS("404 Not Found", answer.c_str());
   }
--- a/test/platform/packet/flow_log_test.cc
+++ b/test/platform/packet/flow_log_test.cc
@@ -95,9 +95,13 @@
   void setHosts(const std::vector<HostSpec>& hosts) {
     director.setPool(now, {"dispatch", hosts}, 57);
   }
-  void pass(const std::string& packet) { path.onPacket(now, PacketSource::kFabric, packet); }
+  void pass(const std::string& packet) {
+    path.onPacket(now, PacketSource::kFabric, packet);
+  }
   /** @return the last line, or empty. */
-  std::string last() const { return sink.lines.empty() ? "" : sink.lines.back(); }
+  std::string last() const {
+    return sink.lines.empty() ? "" : sink.lines.back();
+  }
   void checkLast(const std::string& expected) const {
     STRCMP_EQUAL(expected.c_str(), last().c_str());
   }
--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -42,6 +42,9 @@
   std::unique_ptr<test::StandinStore> store = std::make_unique<test::StandinStore>(3);
   std::unique_ptr<ObjectStoreAdapter> adapter;
   uint64_t seen = 0;
+  /** No probe disturbs the counts of a test that isn't about them. */
+  Duration livenessInterval = std::chrono::hours(1);
+  Duration longestWatch = seconds(2);
   std::map<std::string, HostPool> pools;
   std::map<std::string, Service> services;
 
@@ -50,7 +53,7 @@
     ObjectStoreOptions made;
     made.address = store->address();
     made.region = "addis";
-    made.follower.longestWatch = seconds(2);
+    made.follower.longestWatch = longestWatch;
     made.follower.gatherChanges = milliseconds(5);
     made.follower.retry = {milliseconds(10), milliseconds(50)};
     made.follower.retryBudget = {10, milliseconds(50)};
@@ -58,6 +61,9 @@
     made.limits.answer = milliseconds(500);
     made.presence.vanishedGrace = milliseconds(400);
     made.presence.outageGrace = milliseconds(400);
+    made.liveness.interval = livenessInterval;
+    made.liveness.intervalAfterMiss = milliseconds(20);
+    made.probePatience = milliseconds(200);
     return made;
   }
   void setHost(int index, const std::string& state = "ready") {
@@ -231,6 +237,26 @@
   CHECK_TRUE(store->calls().connections > connections);
 }
 
+/** Nothing tells the node but its probes: connections stay, and a watch waits for a minute. */
+TEST(ObjectStoreAdapter, MakesWatchesAnewThatASilentStoreNeverAnswers) {
+  livenessInterval = milliseconds(50);
+  longestWatch = seconds(60);
+  setUp(4);
+  start();
+  test::StandinFaults faults;
+  faults.mood = test::StoreMood::kSilent;
+  faults.staysSilent = true;
+  store->setFaults(faults);
+  setHost(4, "draining");
+  store->objects().set("config", "main", configuration(4, "s-one", 2));
+  CHECK_TRUE(follow([this] { return adapter->status().failing; }));
+  LONGS_EQUAL(4, active());
+  store->setFaults({});
+  CHECK_TRUE(follow([this] { return active() == 3 && services.size() == 2; }));
+  CHECK_FALSE(adapter->status().failing);
+  LONGS_EQUAL(0, adapter->status().failures);
+}
+
 TEST(ObjectStoreAdapter, WaitsAndAsksAgainBeyondTheRate) {
   setUp(2);
   test::StandinFaults faults;
--- a/test/platform/store/standin_store.cc
+++ b/test/platform/store/standin_store.cc
@@ -119,13 +119,21 @@
     }
   }
 
+  /** Ends the connection without an answer: after the silence, or never while the store runs. */
+  void stayUnanswered(std::unique_lock<std::mutex>& lock, HTTPServerRequest& request) {
+    const bool forever = faults.staysSilent;
+    moved.wait(lock, [this, forever] {
+      return stopping || (!forever && faults.mood != StoreMood::kSilent);
+    });
+    dropConnection(request);
+  }
+
   /** @return whether the call goes on. */
   bool admit(HTTPServerRequest& request, HTTPServerResponse& response) {
     std::unique_lock lock(mutex);
     count(request);
     if (faults.mood == StoreMood::kSilent) {
-      moved.wait(lock, [this] { return stopping || faults.mood != StoreMood::kSilent; });
-      dropConnection(request);
+      stayUnanswered(lock, request);
       return false;
     }
     if (faults.mood == StoreMood::kReset) {
@@ -198,8 +206,7 @@
     }
     std::unique_lock lock(mutex);
     if (faults.mood != StoreMood::kAnswering) {
-      moved.wait(lock, [this] { return stopping || faults.mood != StoreMood::kSilent; });
-      dropConnection(request);
+      stayUnanswered(lock, request);
       return;
     }
     send(response, HTTPResponse::HTTP_OK, encode(std::get<StandinEvents>(answer)));
--- a/test/platform/store/standin_store.h
+++ b/test/platform/store/standin_store.h
@@ -25,6 +25,8 @@
 /** What goes wrong. */
 struct StandinFaults {
   StoreMood mood = StoreMood::kAnswering;
+  /** What was asked in kSilent stays without an answer and without an end, also afterwards. */
+  bool staysSilent = false;
   /** Delay of every answer. */
   Duration slow{0};
   /** The next so many changes are done and not answered. */
