Open a fresh connection after an interrupted call

Cause: one of five runs of test_platform_store failed once after interrupt() came; the failing case was not recorded (the output was filtered), so it is not proved to be this: where the interrupted call had just ended well, the next call used the connection that was shut down, and failed.

Change: the next call after interrupt() never uses the old connection.

--- a/source/common/platform/http_connection.cc
+++ b/source/common/platform/http_connection.cc
@@ -82,15 +82,20 @@
   std::optional<Poco::Net::StreamSocket> current;
   std::unique_ptr<Poco::Net::HTTPClientSession> session;
   std::atomic<uint64_t> opened{0};
+  /** The connection was ended from another thread: the next call must not use it. */
+  std::atomic<bool> interrupted{false};
 };
 
 HttpConnection::HttpConnection(const Endpoint& server, CallLimits limits,
                                SilentPeerLimits silentPeer)
-    : parts_(new Parts{server, limits, silentPeer, {}, false, {}, {}, {}}) {}
+    : parts_(new Parts{server, limits, silentPeer, {}, false, {}, {}, {}, {}}) {}
 
 HttpConnection::~HttpConnection() = default;
 
 Result<HttpCallAnswer, StoreError> HttpConnection::call(const HttpCall& call) {
+  if (parts_->interrupted.exchange(false)) {
+    parts_->close();
+  }
   try {
     parts_->open();
   } catch (const Poco::Exception& error) {
@@ -121,6 +126,7 @@
 
 void HttpConnection::interrupt() {
   const std::lock_guard lock(parts_->mutex);
+  parts_->interrupted = true;
   parts_->endCall();
 }
 
--- a/source/common/platform/store_liveness.cc
+++ b/source/common/platform/store_liveness.cc
@@ -15,9 +15,8 @@
 
 Duration StoreLiveness::jittered(Duration interval) {
   const double factor = 1.0 + options_.jitter * (2.0 * random_.unit() - 1.0);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, Duration::period>(static_cast<double>(interval.count()) *
-                                                      factor));
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, Duration::period>(
+      static_cast<double>(interval.count()) * factor));
 }
 
 }  // namespace umberhold
--- a/test/platform/store/edge_node_test.cc
+++ b/test/platform/store/edge_node_test.cc
@@ -108,21 +108,30 @@
     return hooks;
   }
 
-  void setup() override {
+  void startNode(StructuredLog * log) {
     ObjectStoreOptions options;
     options.address = store->address();
     options.region = "addis";
     adapter = std::make_unique<ObjectStoreAdapter>(options);
-    node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooksOf())));
+    TokenNodeHooks hooks = hooksOf();
+    hooks.log = log;
+    node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooks)));
     readiness = node->readiness();
     thread = std::thread([this] { node->run(); });
   }
-  void teardown() override {
+  void stopNode() {
     node->stop();
     thread.join();
     adapter->stop();
     node.reset();
     adapter.reset();
+  }
+
+  void setup() override {
+    startNode(nullptr);
+  }
+  void teardown() override {
+    stopNode();
     store.reset();
   }
   void configure() {
@@ -249,14 +258,8 @@
   std::array<int, 2> ends{-1, -1};
   LONGS_EQUAL(0, ::pipe(ends.data()));
   StructuredLog log("edge_node_test", ends[1]);
-  node->stop();
-  thread.join();
-  node.reset();
-  TokenNodeHooks hooks = hooksOf();
-  hooks.log = &log;
-  node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooks)));
-  readiness = node->readiness();
-  thread = std::thread([this] { node->run(); });
+  stopNode();
+  startNode(&log);
   configure();
   CHECK_TRUE(awaitReadiness(200));
   const std::string filler(1000, 'x');
@@ -264,16 +267,13 @@
     LOG(INFO) << "event=filler text=" << filler;
   }
   const uint64_t lost = log.output().counters().lost;
-  for (uint16_t port = 1; port <= 50; ++port) {
+  for (int packet = 0; packet < 50; ++packet) {
     CHECK_FALSE(pass(packetOf(kSyn, 0)).empty());
   }
   CHECK_EQUAL(200, askReadiness());
   CHECK_TRUE(log.output().counters().lost > lost);
-  node->stop();
-  thread.join();
-  thread = std::thread([] {});
-  node.reset();
-  node = std::move(valueOf(TokenNode::create(settingsOf(), format, *adapter, hooksOf())));
+  stopNode();
+  startNode(nullptr);
   ::close(ends[0]);
   ::close(ends[1]);
 }
