--- a/source/common/log/line_output.h
+++ b/source/common/log/line_output.h
@@ -27,7 +27,7 @@
 class LineOutput {
  public:
   /** Bytes that wait for the descriptor at most. */
-  static constexpr size_t kBufferBytes = 256 * 1024;
+  static constexpr size_t kBufferBytes = size_t{256} * 1024;
 
   /**
    * @param descriptor borrowed; its flags are left alone, and no other process may write to it. A
