--- a/test/platform/store/store_messages_test.cc
+++ b/test/platform/store/store_messages_test.cc
@@ -1,4 +1,5 @@
-/** @file Answers of the users' store that have not their form: refused as a whole, or object by object. */
+/** @file Answers of the users' store that have not their form: refused as a whole, or object by
+ * object. */
 #include "platform/store/store_messages.h"
 
 #include <string>
@@ -61,19 +62,21 @@
 }
 
 TEST(StoreMessages, AnObjectOfAnotherFormIsUnreadableAlone) {
-  for (const char* specification :
-       {"7", "{}", R"({"service":7,"address":"10.0.0.1:80","zone":"b","state":"ready"})",
-        R"({"service":"s","address":"10.0.0.1","zone":"b","state":"ready"})",
-        R"({"service":"s","address":"10.0.0.1:80","zone":"b","state":"ready","slots":-1})",
-        R"({"service":"s","address":"10.0.0.1:80","zone":"b","state":"ready","slots":4294967296})"}) {
+  for (
+      const char* specification :
+      {"7", "{}", R"({"service":7,"address":"10.0.0.1:80","zone":"b","state":"ready"})",
+       R"({"service":"s","address":"10.0.0.1","zone":"b","state":"ready"})",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"b","state":"ready","slots":-1})",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"b","state":"ready","slots":4294967296})"}) {
     CHECK_TRUE(isUnreadable(StoreKind::kHosts, specification));
   }
-  for (const char* specification :
-       {R"({"version":1,"routes":{},"services":[]})", R"({"version":"1","routes":[],"services":[]})",
-        R"({"version":1,"routes":[7],"services":[]})",
-        R"({"version":1,"routes":[],"services":[],"limits":7})",
-        R"({"version":1,"routes":[{"name":"r","host":"x","path_prefix":"/1/","service":"s"}],"services":[]})",
-        R"({"version":1,"routes":[{"name":"r","host":"1.2.3.4","path_prefix":"//","service":"s"}],"services":[]})"}) {
+  for (
+      const char* specification :
+      {R"({"version":1,"routes":{},"services":[]})", R"({"version":"1","routes":[],"services":[]})",
+       R"({"version":1,"routes":[7],"services":[]})",
+       R"({"version":1,"routes":[],"services":[],"limits":7})",
+       R"({"version":1,"routes":[{"name":"r","host":"x","path_prefix":"/1/","service":"s"}],"services":[]})",
+       R"({"version":1,"routes":[{"name":"r","host":"1.2.3.4","path_prefix":"//","service":"s"}],"services":[]})"}) {
     CHECK_TRUE(isUnreadable(StoreKind::kConfiguration, specification));
   }
 }
