Ask the seeds what they hold while the first list can't be had

Cause: a node that started while the store was down was not ready until the store answered, though its neighbours knew everything.

Change: nodes answer lists of what they hold at their control address, in the store's own form, made when asked; 503 until they know both kinds. A node that has no list 1 s after its start asks the seeds in turn, and goes on until the store or a peer has told it. The list that follows must be current, so that hosts which left meanwhile go.

--- a/source/common/config/token_node_settings.cc
+++ b/source/common/config/token_node_settings.cc
@@ -44,6 +44,26 @@
     }
     value = *found;
   }
+  void endpoints(const char* key, std::vector<Endpoint>& values) {
+    const toml::node* node = find(key, false);
+    if (node == nullptr) {
+      return;
+    }
+    const toml::array* list = node->as_array();
+    if (list == nullptr) {
+      fail(SettingsErrorCode::kWrongType, key, lineOf(*node), "a list of \"a.b.c.d:port\"");
+      return;
+    }
+    for (const toml::node& member : *list) {
+      const auto words = member.value_exact<std::string>();
+      const auto found = words ? parseEndpoint(*words) : std::nullopt;
+      if (!found) {
+        fail(SettingsErrorCode::kWrongType, key, lineOf(*node), "a list of \"a.b.c.d:port\"");
+        return;
+      }
+      values.push_back(*found);
+    }
+  }
   void number(const char* key, uint32_t& value, int64_t highest) {
     const toml::node* node = find(key, false);
     if (node == nullptr) {
@@ -107,6 +127,8 @@
     reader.text("metrics_path", settings.metricsPath, false);
     reader.text("request_header", settings.requestHeader, false);
     reader.endpoint("store", settings.store);
+    reader.endpoint("peer_address", settings.peerAddress, false);
+    reader.endpoints("peers", settings.peers);
     reader.number("change_bound_milliseconds", settings.changeBoundMilliseconds,
                   kLongestBoundMilliseconds);
     reader.number("drain_bound_milliseconds", settings.drainBoundMilliseconds,
@@ -143,6 +165,8 @@
   compare("metrics_path", &S::metricsPath, false);
   compare("request_header", &S::requestHeader, true);
   compare("store", &S::store, false);
+  compare("peer_address", &S::peerAddress, false);
+  compare("peers", &S::peers, false);
   compare("change_bound_milliseconds", &S::changeBoundMilliseconds, false);
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
--- a/source/common/config/token_node_settings.h
+++ b/source/common/config/token_node_settings.h
@@ -30,6 +30,10 @@
   std::string requestHeader;
   /** The platform's store. */
   Endpoint store;
+  /** Where other nodes ask what this one holds; port 0 where the settings give none. */
+  Endpoint peerAddress;
+  /** Nodes that are asked while the store can't be read at the start. */
+  std::vector<Endpoint> peers;
   /** A change of services must be in force this long after the store has it, milliseconds. */
   uint32_t changeBoundMilliseconds = 3000;
   /** A host that drains must get no new flow this long after the store has it, milliseconds. */
--- a/source/common/platform/collection_follower.cc
+++ b/source/common/platform/collection_follower.cc
@@ -59,6 +59,12 @@
   }
 }
 
+void CollectionFollower::demandCurrentList() {
+  if (page_) {
+    page_ = ReadPage{"", false};
+  }
+}
+
 void CollectionFollower::succeed() {
   failing_ = false;
   backOff_.reset();
--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -82,6 +82,11 @@
   /** The call that next() asked for failed; its kind of failure decides what follows. */
   void onFailure(TimePoint now, const StoreError& error);
 
+  /**
+   * Something is known from elsewhere: the list to come must be current, so that what it lacks is
+   * known to be gone.
+   */
+  void demandCurrentList();
   /** @return whether calls fail at present. */
   bool isFailing() const { return failing_; }
   /** @return whether a list is complete, so that a copy exists. */
--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -87,6 +87,16 @@
   return changed;
 }
 
+std::vector<HostRegistration> HostPresence::registered() const {
+  std::vector<HostRegistration> registered;
+  for (const auto& [name, entry] : entries_) {
+    if (!entry.removedAt) {
+      registered.push_back(entry.registration);
+    }
+  }
+  return registered;
+}
+
 std::optional<TimePoint> HostPresence::nextChange() const {
   std::optional<TimePoint> next;
   const auto consider = [&next, this](TimePoint at) {
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -75,6 +75,8 @@
    * @return the pools that changed, in full.
    */
   std::vector<HostPool> settle(TimePoint now);
+  /** @return the registrations that are there. */
+  std::vector<HostRegistration> registered() const;
   /** @return when settle() has something to do next. */
   std::optional<TimePoint> nextChange() const;
 
--- a/source/common/platform/store_liveness.cc
+++ b/source/common/platform/store_liveness.cc
@@ -5,7 +5,7 @@
 namespace umberhold {
 
 StoreLiveness::StoreLiveness(TimePoint now, StoreLivenessOptions options, RandomSource& random)
-    : options_(options), random_(random), nextProbe_(now + jittered(options.interval)) {}
+    : options_(options), random_(random), nextProbe_(now + jittered(options.first)) {}
 
 WaitingCalls StoreLiveness::onProbe(TimePoint now, bool answered) {
   nextProbe_ = now + jittered(answered ? options_.interval : options_.intervalAfterMiss);
--- a/source/common/platform/store_liveness.h
+++ b/source/common/platform/store_liveness.h
@@ -15,6 +15,8 @@
 
 /** Pace of the probes. */
 struct StoreLivenessOptions {
+  /** From the start to the first probe: longer than a list takes from a store that works. */
+  Duration first = std::chrono::seconds(1);
   /** Between probes that are answered. Shorter than any outage that matters. */
   Duration interval = std::chrono::milliseconds(1500);
   /** After a probe without an answer. */
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -266,6 +266,8 @@
   std::unique_ptr<PollHttpPort> readiness;
   /** Not there where the settings give no address. */
   std::unique_ptr<PollHttpPort> metricsPort;
+  /** Not there where the settings give no address. */
+  std::unique_ptr<PollHttpPort> peerPort;
   std::unique_ptr<CatalogReader> reader;
   /** Wakes the loop for stopAsked and reloadAsked. */
   const int signalDescriptor;
@@ -311,6 +313,13 @@
     }
     parts->metricsPort = std::move(valueOf(metrics));
   }
+  if (settings.peerAddress != Endpoint{} && parts->hooks.answerPeer) {
+    auto peerPort = PollHttpPort::open(settings.peerAddress, parts->loop, parts->hooks.answerPeer);
+    if (!isOk(peerPort)) {
+      return errorOf(peerPort);
+    }
+    parts->peerPort = std::move(valueOf(peerPort));
+  }
   parts->reader = std::make_unique<CatalogReader>(store, [shared](CatalogChanges changes) {
     shared->mailbox.post([shared, news = std::move(changes)] { shared->take(news); });
   });
--- a/source/common/server/token_node.h
+++ b/source/common/server/token_node.h
@@ -14,6 +14,7 @@
 #include "common/packet/packet_format.h"
 #include "common/platform/platform_store.h"
 #include "common/platform/store_read_status.h"
+#include "common/server/poll_http_port.h"
 #include "common/server/udp_port.h"
 
 namespace umberhold {
@@ -23,6 +24,8 @@
   /** Borrowed. Without it, decisions are counted and not logged. */
   StructuredLog* log = nullptr;
   std::function<StoreReadStatus()> storeStatus;
+  /** Answers other nodes at the settings' peerAddress; without it there is no such port. */
+  TextResponder answerPeer;
   /** Reads the settings anew; without it reload() does nothing. */
   std::function<Result<TokenNodeSettings, SettingsError>()> readSettings;
   /** Whether the settings have changed without reload() being called; asked every few seconds. */
--- a/test/common/config/token_node_settings_test.cc
+++ b/test/common/config/token_node_settings_test.cc
@@ -17,6 +17,8 @@
 metrics_path = "/figures"
 request_header = "X-Request"
 store = "10.200.1.7:8169"
+peer_address = "10.1.0.10:8166"
+peers = ["10.1.0.10:8166", "10.2.0.40:8166"]
 change_bound_milliseconds = 5000
 drain_bound_milliseconds = 4000
 flow_life_seconds = 90
@@ -54,6 +56,9 @@
   STRCMP_EQUAL("/figures", read.metricsPath.c_str());
   STRCMP_EQUAL("X-Request", read.requestHeader.c_str());
   CHECK_TRUE(read.store == (Endpoint{0x0AC80107, 8169}));
+  CHECK_TRUE(read.peerAddress == (Endpoint{0x0A01000A, 8166}));
+  LONGS_EQUAL(2, read.peers.size());
+  CHECK_TRUE(read.peers[1] == (Endpoint{0x0A020028, 8166}));
   CHECK_EQUAL(5000, read.changeBoundMilliseconds);
   CHECK_EQUAL(4000, read.drainBoundMilliseconds);
   CHECK_EQUAL(90, read.flowLifeSeconds);
@@ -79,6 +84,7 @@
 }
 
 TEST(TokenNodeSettings, NamesTheFault) {
+  checkRefused(SettingsErrorCode::kWrongType, "peers", with("\"10.2.0.40:8166\"", "7"));
   checkRefused(SettingsErrorCode::kWrongType, "metrics", with("10.1.0.10:9464", "9464"));
   checkRefused(SettingsErrorCode::kSyntax, "", "node = ");
   checkRefused(SettingsErrorCode::kUnknownKey, "zones", with("zone =", "zones = \"x\"\nzone ="));
