--- a/source/common/shard/local_shard.cc
+++ b/source/common/shard/local_shard.cc
@@ -227,7 +227,6 @@
   lastBaseAdvance_ = now;
   cautiousUntil_ = cautious ? now + context_.options.cautiousTime : now;
   log_.reset(now);
-  log_.allowGathering(service_.protocol == TransportProtocol::kTcp);
   knownFlows_.stop();
   service_.placement->shardOwned(now, id_, permits);
   countEntries(now);
