--- a/source/common/shard/replication_log.h
+++ b/source/common/shard/replication_log.h
@@ -34,8 +34,8 @@
   static constexpr size_t kBatchBytes = 1100;
 
   /**
-   * Whether changes may wait for others while the budget is scarce. Off on nodes: what an owner that
-   * dies or is cut off had not told yet breaks flows (decision 0012).
+   * Whether changes may wait for others while the budget is scarce. Off on nodes: what an owner
+   * that dies or is cut off had not told yet breaks flows (decision 0012).
    */
   void allowGathering(bool allowed) { mayGather_ = allowed; }
 
