--- a/source/common/shard/replication_log.h
+++ b/source/common/shard/replication_log.h
@@ -1,9 +1,9 @@
 /**
  * @file The owner's side of replication: an ordered log of changes, acknowledged by the replica.
  *
- * One batch is on the way at a time. Batches leave at once while the node's byte budget is ample;
- * where it is scarce they gather changes for a while, so that the fixed part of a datagram does not
- * eat the budget up. So they are small and quick while little happens and large while much happens.
+ * One batch is on the way at a time. Batches leave as soon as the node's byte budget allows, so
+ * that they are small and quick while little happens and large while much happens. With gathering,
+ * which nodes don't use, changes wait for others while the budget is scarce.
  */
 #pragma once
 
