Hand services and pools over as types, not as the product's JSON

The adapter formatted each route as the product's JSON, and the reader's thread of the same process parsed it again.

Ruled out: the decoding of the store's answer (2.5 ms at 2,200 routes before); applying in slices (a node that took a part of a version and not the rest for 250 ms would break the rule on going back).

Change: CatalogSource gives typed changes; ObjectStoreAdapter is one, StoredCatalog makes one of a PlatformStore with the product's own objects. put, remove and machines, which the adapter only refused, are gone with their test (RefusesChanges): there is no such call any more.

--- a/source/common/server/catalog_reader.cc
+++ b/source/common/server/catalog_reader.cc
@@ -1,36 +1,37 @@
 #include "common/server/catalog_reader.h"
 
-#include <glog/logging.h>
-
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
-#include "common/platform/deletion_marker.h"
-#include "common/platform/object_json.h"
 #include "common/platform/steady_now.h"
 
 namespace umberhold {
 namespace {
 
-/** The store's client spaces its own tries; this keeps a store that answers at once from a spin. */
+/** The source's client spaces its own tries; this keeps one that answers at once from a spin. */
 constexpr auto kRetryPause = std::chrono::milliseconds(100);
 constexpr Duration kWatchPatience = std::chrono::seconds(30);
 
-template <class Object>
-std::vector<CatalogChange> readAs(const StoredObject& object,
-                                  const Result<Object, ObjectError>& parsed) {
-  if (isOk(parsed)) {
-    return {valueOf(parsed)};
+std::vector<CatalogChange> goneOf(Collection collection, const std::set<std::string>& before,
+                                  const std::set<std::string>& now) {
+  std::vector<CatalogChange> gone;
+  for (const std::string& name : before) {
+    if (!now.contains(name)) {
+      gone.push_back(ObjectGone{collection, name});
+    }
   }
-  LOG(WARNING) << "event=object_unreadable name=" << object.name
-               << " code=" << toString(errorOf(parsed).code) << " path=" << errorOf(parsed).path;
-  return {};
+  return gone;
+}
+
+bool isService(const CatalogChange& change) {
+  return std::holds_alternative<Service>(change);
 }
 
 }  // namespace
 
-CatalogReader::CatalogReader(PlatformStore& store, Sink sink)
-    : store_(store), sink_(std::move(sink)), thread_([this] { run(); }) {}
+CatalogReader::CatalogReader(CatalogSource& source, Sink sink)
+    : source_(source), sink_(std::move(sink)), thread_([this] { run(); }) {}
 
 CatalogReader::~CatalogReader() {
   stop();
@@ -47,63 +48,49 @@
   }
 }
 
-std::vector<CatalogChange> CatalogReader::read(const StoredObject& object) {
-  const bool isPool = object.collection == Collection::kHostPools;
-  if (!isPool && object.collection != Collection::kServices) {
-    return {};
-  }
-  std::set<std::string>& names = isPool ? pools_ : services_;
-  if (isDeleted(object)) {
-    names.erase(object.name);
-    return {ObjectGone{object.collection, object.name}};
+void CatalogReader::note(const CatalogChange& change) {
+  if (const auto* gone = std::get_if<ObjectGone>(&change)) {
+    (gone->collection == Collection::kHostPools ? pools_ : services_).erase(gone->name);
+  } else if (const auto* pool = std::get_if<HostPool>(&change)) {
+    pools_.insert(pool->name);
+  } else {
+    services_.insert(std::get<Service>(change).name);
   }
-  names.insert(object.name);
-  return isPool ? readAs(object, parseHostPool(object.name, object.specification))
-                : readAs(object, parseService(object.name, object.specification));
 }
 
 bool CatalogReader::listAll() {
-  CatalogChanges all;
-  std::set<std::string> before[] = {services_, pools_};
-  uint64_t lowest = UINT64_MAX;
-  // Pools first: a service without hosts would turn flows away.
-  for (const Collection collection : {Collection::kHostPools, Collection::kServices}) {
-    const auto list = store_.list(collection);
-    if (!isOk(list)) {
-      return false;
-    }
-    std::set<std::string>& gone = before[collection == Collection::kServices ? 0 : 1];
-    for (const StoredObject& object : valueOf(list).objects) {
-      gone.erase(object.name);
-      for (CatalogChange& change : read(object)) {
-        all.changes.push_back(std::move(change));
-      }
-    }
-    for (const std::string& name : gone) {
-      all.changes.push_back(ObjectGone{collection, name});
-    }
-    lowest = std::min(lowest, valueOf(list).version);
+  auto list = source_.list();
+  if (!isOk(list)) {
+    return false;
   }
-  since_ = lowest;
-  all.version = since_;
+  CatalogChanges& all = valueOf(list);
+  const std::set<std::string> poolsBefore = std::exchange(pools_, {});
+  const std::set<std::string> servicesBefore = std::exchange(services_, {});
+  for (const CatalogChange& change : all.changes) {
+    note(change);
+  }
+  const auto gonePools = goneOf(Collection::kHostPools, poolsBefore, pools_);
+  const auto goneServices = goneOf(Collection::kServices, servicesBefore, services_);
+  // Pools with pools: a service's new pool is there before the service names it.
+  const auto firstService = std::find_if(all.changes.begin(), all.changes.end(), isService);
+  all.changes.insert(firstService, gonePools.begin(), gonePools.end());
+  all.changes.insert(all.changes.end(), goneServices.begin(), goneServices.end());
+  since_ = all.version;
   all.seenAt = steadyNow();
   sink_(std::move(all));
   return true;
 }
 
 bool CatalogReader::follow() {
-  const auto batch = store_.watch(since_, kWatchPatience);
+  auto batch = source_.watch(since_, kWatchPatience);
   if (!isOk(batch)) {
     return errorOf(batch).code != StoreErrorCode::kTooOld;
   }
-  since_ = valueOf(batch).version;
-  CatalogChanges news;
-  news.version = since_;
+  CatalogChanges& news = valueOf(batch);
+  since_ = news.version;
   news.seenAt = steadyNow();
-  for (const StoredObject& object : valueOf(batch).events) {
-    for (CatalogChange& change : read(object)) {
-      news.changes.push_back(std::move(change));
-    }
+  for (const CatalogChange& change : news.changes) {
+    note(change);
   }
   if (!news.changes.empty()) {
     sink_(std::move(news));
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -288,7 +288,7 @@
 
 Result<std::unique_ptr<TokenNode>, PortError> TokenNode::create(const TokenNodeSettings& settings,
                                                                 const PacketFormat& format,
-                                                                PlatformStore& store,
+                                                                CatalogSource& source,
                                                                 TokenNodeHooks hooks) {
   auto port = UdpPort::open(settings.data);
   if (!isOk(port)) {
@@ -320,7 +320,7 @@
     }
     parts->peerPort = std::move(valueOf(peerPort));
   }
-  parts->reader = std::make_unique<CatalogReader>(store, [shared](CatalogChanges changes) {
+  parts->reader = std::make_unique<CatalogReader>(source, [shared](CatalogChanges changes) {
     shared->mailbox.post([shared, news = std::move(changes)] { shared->take(news); });
   });
   return std::unique_ptr<TokenNode>(new TokenNode(std::move(parts)));
--- a/source/common/server/token_node.h
+++ b/source/common/server/token_node.h
@@ -12,7 +12,7 @@
 #include "common/config/token_node_settings.h"
 #include "common/log/structured_log.h"
 #include "common/packet/packet_format.h"
-#include "common/platform/platform_store.h"
+#include "common/platform/catalog_source.h"
 #include "common/platform/store_read_status.h"
 #include "common/server/poll_http_port.h"
 #include "common/server/udp_port.h"
@@ -35,10 +35,10 @@
 /** See the file comment. */
 class TokenNode {
  public:
-  /** Opens the ports. @param format, store borrowed; they must outlive the node. */
+  /** Opens the ports. @param format, source borrowed; they must outlive the node. */
   static Result<std::unique_ptr<TokenNode>, PortError> create(const TokenNodeSettings& settings,
                                                               const PacketFormat& format,
-                                                              PlatformStore& store,
+                                                              CatalogSource& source,
                                                               TokenNodeHooks hooks = {});
   ~TokenNode();
 
--- a/test/common/server/catalog_reader_test.cc
+++ b/test/common/server/catalog_reader_test.cc
@@ -14,6 +14,7 @@
 
 #include "common/platform/object_json.h"
 #include "common/platform/steady_now.h"
+#include "common/platform/stored_catalog.h"
 #include "common/server/poll_loop.h"
 #include "test/support/without_leak_detection.h"
 
@@ -117,12 +118,13 @@
 
 TEST_GROUP_BASE(CatalogReader, test::WithoutLeakDetection) {
   ScriptedStore store;
+  StoredCatalog catalog{store};
   std::mutex mutex;
   std::condition_variable arrived;
   std::deque<CatalogChanges> batches;
 
   std::unique_ptr<CatalogReader> read() {
-    return std::make_unique<CatalogReader>(store, [this](CatalogChanges news) {
+    return std::make_unique<CatalogReader>(catalog, [this](CatalogChanges news) {
       const std::lock_guard lock(mutex);
       batches.push_back(std::move(news));
       arrived.notify_all();
--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -8,7 +8,6 @@
 #include <string>
 #include <thread>
 
-#include "common/platform/object_json.h"
 #include "common/platform/steady_now.h"
 #include "test/platform/store/standin_store.h"
 #include "test/support/without_leak_detection.h"
@@ -84,23 +83,22 @@
   }
   void start() {
     adapter = std::make_unique<ObjectStoreAdapter>(options());
-    auto listed = adapter->list(Collection::kServices);
+    auto listed = adapter->list();
     for (int tries = 0; tries < 20 && !isOk(listed); ++tries) {
-      listed = adapter->list(Collection::kServices);
+      listed = adapter->list();
     }
     CHECK_TRUE(isOk(listed));
-    seen = valueOf(listed).version;
-    take(valueOf(listed).objects);
-    take(valueOf(adapter->list(Collection::kHostPools)).objects);
+    take(valueOf(listed));
   }
-  void take(const std::vector<StoredObject>& objects) {
-    for (const StoredObject& object : objects) {
-      if (object.collection == Collection::kHostPools) {
-        pools[object.name] = valueOf(parseHostPool(object.name, object.specification));
-      } else if (object.deleted) {
-        services.erase(object.name);
+  void take(const CatalogChanges& news) {
+    seen = news.version;
+    for (const CatalogChange& change : news.changes) {
+      if (const auto* pool = std::get_if<HostPool>(&change)) {
+        pools[pool->name] = *pool;
+      } else if (const auto* gone = std::get_if<ObjectGone>(&change)) {
+        services.erase(gone->name);
       } else {
-        services[object.name] = valueOf(parseService(object.name, object.specification));
+        services[std::get<Service>(change).name] = std::get<Service>(change);
       }
     }
   }
@@ -111,8 +109,7 @@
     while (!condition() && steadyNow() < deadline) {
       const auto batch = adapter->watch(seen, milliseconds(100));
       CHECK_TRUE(isOk(batch));
-      seen = valueOf(batch).version;
-      take(valueOf(batch).events);
+      take(valueOf(batch));
     }
     return condition();
   }
@@ -176,17 +173,17 @@
   writer.join();
   CHECK_TRUE(isOk(batch));
   // The host's pool would be here too if its change had been needed to wake the call.
-  LONGS_EQUAL(1, valueOf(batch).events.size());
-  STRCMP_EQUAL("r-1", valueOf(batch).events[0].name.c_str());
+  LONGS_EQUAL(1, valueOf(batch).changes.size());
+  STRCMP_EQUAL("r-1", std::get<Service>(valueOf(batch).changes[0]).name.c_str());
 }
 
 TEST(ObjectStoreAdapter, IsUnavailableUntilThereIsAConfiguration) {
   ObjectStoreOptions impatient = options();
   impatient.firstListPatience = milliseconds(50);
   adapter = std::make_unique<ObjectStoreAdapter>(impatient);
-  CHECK_TRUE(errorOf(adapter->list(Collection::kServices)).code == StoreErrorCode::kUnavailable);
+  CHECK_TRUE(errorOf(adapter->list()).code == StoreErrorCode::kUnavailable);
   setUp(1);
-  CHECK_TRUE(follow([this] { return isOk(adapter->list(Collection::kServices)); }));
+  CHECK_TRUE(follow([this] { return isOk(adapter->list()); }));
 }
 
 TEST(ObjectStoreAdapter, CatchesUpFromAListThatLags) {
@@ -352,16 +349,6 @@
   CHECK_TRUE(follow([this] { return adapter->status().unreadable == 2; }));
 }
 
-TEST(ObjectStoreAdapter, RefusesChanges) {
-  setUp(1);
-  start();
-  StoredObject object;
-  object.name = "r-0";
-  CHECK_TRUE(errorOf(adapter->put(object)).code == StoreErrorCode::kRejected);
-  CHECK_TRUE(errorOf(adapter->remove(object)).code == StoreErrorCode::kRejected);
-  CHECK_TRUE(valueOf(adapter->machines()).empty());
-}
-
 TEST(ObjectStoreAdapter, EndsWaitingCallsWhenStopped) {
   setUp(1);
   start();
@@ -369,5 +356,5 @@
   const auto batch = adapter->watch(seen, std::chrono::hours(1));
   CHECK_TRUE(isOk(batch));
   LONGS_EQUAL(seen, valueOf(batch).version);
-  CHECK_TRUE(valueOf(batch).events.empty());
+  CHECK_TRUE(valueOf(batch).changes.empty());
 }
--- a/test/platform/store/object_translation_test.cc
+++ b/test/platform/store/object_translation_test.cc
@@ -1,7 +1,6 @@
 /** @file From the users' answers to the product's services and host pools. */
 #include "platform/store/object_translation.h"
 
-#include "common/platform/object_json.h"
 #include "platform/store/store_messages.h"
 #include "platform/store/translated_objects.h"
 #include "test/support/without_leak_detection.h"
@@ -119,6 +118,13 @@
     host.state = state;
     return HostPool{"s-one", {host}};
   }
+  size_t serviceCount() {
+    size_t count = 0;
+    for (const CatalogChange& change : objects.whole().changes) {
+      count += std::holds_alternative<Service>(change) ? 1 : 0;
+    }
+    return count;
+  }
 };
 
 TEST(TranslatedObjects, SaysOnlyWhatChanged) {
@@ -133,10 +139,9 @@
   CHECK_TRUE(objects.setConfiguration(15, next));
   const auto batch = objects.changesSince(before);
   CHECK_TRUE(batch.has_value());
-  LONGS_EQUAL(1, batch->events.size());
-  STRCMP_EQUAL("r-b", batch->events[0].name.c_str());
-  CHECK_TRUE(batch->events[0].deleted);
-  LONGS_EQUAL(1, objects.list(Collection::kServices).objects.size());
+  LONGS_EQUAL(1, batch->changes.size());
+  CHECK_TRUE(std::get<ObjectGone>(batch->changes[0]) == (ObjectGone{Collection::kServices, "r-b"}));
+  LONGS_EQUAL(1, serviceCount());
 }
 
 TEST(TranslatedObjects, NeverGoesBackToAnOlderConfiguration) {
@@ -146,15 +151,25 @@
   CHECK_TRUE(objects.setConfiguration(15, newer));
   CHECK_FALSE(objects.setConfiguration(12, sampleConfiguration()));
   CHECK_FALSE(objects.setConfiguration(16, sampleConfiguration()));
-  LONGS_EQUAL(1, objects.list(Collection::kServices).objects.size());
+  LONGS_EQUAL(1, serviceCount());
 }
 
 TEST(TranslatedObjects, GivesHostsTheConnectionLimitOfTheirService) {
   objects.setPools({pool()});
   CHECK_TRUE(objects.setConfiguration(12, sampleConfiguration()));
-  const auto stored = objects.get(Collection::kHostPools, "s-one");
-  CHECK_TRUE(stored.has_value());
-  const auto read = parseHostPool("s-one", stored->specification);
-  CHECK_TRUE(isOk(read));
-  LONGS_EQUAL(1500, valueOf(read).hosts.at(0).connectionLimit);
+  // Pools come before services.
+  const CatalogChanges all = objects.whole();
+  LONGS_EQUAL(1500, std::get<HostPool>(all.changes.at(0)).hosts.at(0).connectionLimit);
+}
+
+TEST(TranslatedObjects, ForgetsChangesOfLongAgo) {
+  constexpr int kMany = 5000;
+  CHECK_TRUE(objects.setConfiguration(12, sampleConfiguration()));
+  const uint64_t first = objects.version();
+  for (int change = 0; change < kMany; ++change) {
+    objects.setPools({pool(change % 2 == 0 ? HostState::kActive : HostState::kDraining)});
+  }
+  CHECK_FALSE(objects.changesSince(first).has_value());
+  LONGS_EQUAL(1, objects.changesSince(objects.version() - 1)->changes.size());
+  CHECK_TRUE(objects.changesSince(objects.version())->changes.empty());
 }
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -5,7 +5,6 @@
 #include <thread>
 #include <vector>
 
-#include "common/platform/object_json.h"
 #include "common/platform/steady_now.h"
 #include "common/server/loop_mailbox.h"
 #include "platform/store/object_store_adapter.h"
@@ -67,14 +66,16 @@
 
   /** @return hosts that take new flows; none before the node is ready. */
   size_t activeHosts() {
-    const auto stored = adapter_->get(Collection::kHostPools, "s-one");
-    if (!isOk(stored)) {
+    const auto all = adapter_->list();
+    if (!isOk(all)) {
       return 0;
     }
     size_t active = 0;
-    const auto pool = parseHostPool("s-one", valueOf(stored).specification);
-    for (const HostSpec& host : valueOf(pool).hosts) {
-      active += host.state == HostState::kActive ? 1 : 0;
+    for (const CatalogChange& change : valueOf(all).changes) {
+      const auto* pool = std::get_if<HostPool>(&change);
+      for (const HostSpec& host : pool == nullptr ? std::vector<HostSpec>{} : pool->hosts) {
+        active += host.state == HostState::kActive ? 1 : 0;
+      }
     }
     return active;
   }
