Let a former owner that asks for its shard back know that it is gone

A node had handed the shard over while views differed at the start, asked for it back (acquiring), and so missed that its successor had it: the last acknowledgement and the owner's notices counted for released shards only. In the cut it gave its empty state of epoch 1 to the other node of its side, as if it were the newest; the flows' packets then went by that.

Ruled out: lagging replication (the copies had all exceptions), shards built new in the cut (none was in the log), the outdated copies of replicas (guarded before), health news shared at once (plays no part in what was logged).

Change: a released state also learns that it was handed over while it is asked back.

Test: FormerOwnerThatAsksForTheShardBackKnowsThatItIsGone, both ways to learn it; fails before, passes after.

--- a/source/common/shard/local_shard.h
+++ b/source/common/shard/local_shard.h
@@ -117,6 +117,9 @@
   // Roles (local_shard.cc).
   bool isNamedOwner() const;
   bool outranksSelf(NodeId node) const;
+  /** @return whether this node owned the shard and keeps its state, also while it asks for it back.
+   */
+  bool holdsReleasedState() const { return hasState_ && role_ != ShardRole::kOwner; }
   HeldState held(TimePoint now) const;
   std::vector<NodeId> takeoverCandidates() const;
   void startTakeover(TimePoint now);
--- a/source/common/shard/local_shard_messages.cc
+++ b/source/common/shard/local_shard_messages.cc
@@ -52,7 +52,7 @@
   if (role_ == ShardRole::kOwner &&
       std::make_tuple(epoch, owner) > std::make_tuple(epoch_, context_.self())) {
     fence(now, owner, epoch);
-  } else if (role_ == ShardRole::kReleased && epoch > epoch_) {
+  } else if (holdsReleasedState() && epoch > epoch_) {
     handedOver_ = true;
     successor_ = owner;
   }
@@ -103,7 +103,7 @@
     return;
   }
   session->second->onAck(now, ack.next);
-  if (session->second->done() && role_ == ShardRole::kReleased && sender == successor_) {
+  if (session->second->done() && holdsReleasedState() && sender == successor_) {
     handedOver_ = true;
   }
 }
--- a/test/common/shard/shard_director_test.cc
+++ b/test/common/shard/shard_director_test.cc
@@ -153,3 +153,32 @@
   CHECK(reply->role == HeldRole::kReleased);
   CHECK(reply->successor == kNewcomer);
 }
+
+/**
+ * Found with real processes: while views differed a former owner asked for the shard back, missed
+ * that its successor had taken it, and gave its state of long ago to a node on its side of a cut.
+ */
+TEST(ShardDirector, FormerOwnerThatAsksForTheShardBackKnowsThatItIsGone) {
+  constexpr uint32_t kNewerEpoch = 100;
+  constexpr uint32_t kAttempt = 1;
+  for (const bool lastAcknowledgementArrives : {true, false}) {
+    LoneNode node;
+    node.tick();
+    CHECK(node.ask(kNewcomer, kNewerEpoch)->role == HeldRole::kOwner);
+    node.tick();
+    node.deliver(kNewcomer, SnapshotAck{kShard, SnapshotPurpose::kTakeover, kAttempt, 0});
+    if (lastAcknowledgementArrives) {
+      node.tick();
+      node.deliver(kNewcomer, SnapshotAck{kShard, SnapshotPurpose::kTakeover, kAttempt, 1});
+    } else {
+      node.deliver(kNewcomer, OwnershipNotice{kShard, kNewerEpoch + 1, false});
+    }
+    Member dead;
+    dead.id = NodeId{5};
+    dead.state = MemberState::kDead;
+    node.director.onMemberChanged(dead);
+    const auto reply = node.ask(kAsker, 0);
+    CHECK(reply.has_value());
+    CHECK(reply->role == HeldRole::kNothing);
+  }
+}
