Keep the state of an owner that gave way out of cuts

Two nodes had built the same shards at the start; the one that gave way (fenced) kept its empty state and, in the cut, gave it to its side while the owner lived on the far side: all exceptions there went by it.

Change: while another owner may live, a state that gave way to a newer owner counts no more than one that was handed over. A node that was paused releases its shards to itself, and goes on as before.

Test: OwnerThatGaveWayKeepsItsStateToItselfWhileTheNewerOneMayLive fails before, passes after; test_common_shard (65) and test_common_node (14) pass.

--- a/source/common/shard/local_shard.cc
+++ b/source/common/shard/local_shard.cc
@@ -54,7 +54,9 @@
   // While the nodes that hold newer state may be cut off, an outdated one would send their flows to
   // other hosts. Where they are dead it is the best that is left.
   const bool outdatedServes = !context_.mayHaveRivals(now);
-  const bool superseded = handedOver_ && !fenced_;
+  // A node that was paused releases its shards to itself, to ask whether they are still its own.
+  const bool gaveWay = fenced_ && successor_ != context_.self();
+  const bool superseded = gaveWay || (handedOver_ && !fenced_);
   HeldState best;
   if (hasState_ && (!superseded || outdatedServes)) {
     best = HeldState{HeldRole::kReleased, epoch_, 0};
--- a/test/common/shard/shard_director_test.cc
+++ b/test/common/shard/shard_director_test.cc
@@ -182,3 +182,19 @@
     CHECK(reply->role == HeldRole::kNothing);
   }
 }
+
+/** Found with real processes: two nodes built one shard, and the one that gave way served its empty
+ * state to its side of a cut while the other lived on the far side. */
+TEST(ShardDirector, OwnerThatGaveWayKeepsItsStateToItselfWhileTheNewerOneMayLive) {
+  LoneNode node;
+  node.tick();
+  CHECK_EQUAL(1U, node.director.ownedShards());
+  node.deliver(kNewcomer, OwnershipNotice{kShard, 5, false});
+  CHECK_EQUAL(0U, node.director.ownedShards());
+  CHECK(node.ask(kAsker, 0)->role == HeldRole::kReleased);
+  Member dead;
+  dead.id = NodeId{5};
+  dead.state = MemberState::kDead;
+  node.director.onMemberChanged(dead);
+  CHECK(node.ask(kAsker, 0)->role == HeldRole::kNothing);
+}
