--- a/source/common/platform/host_event_log.cc
+++ b/source/common/platform/host_event_log.cc
@@ -6,8 +6,11 @@
 namespace umberhold {
 
 void HostEventLog::beginAt(uint64_t version) {
+  begin_ = std::max(version, begin_.value_or(0));
+  for (const HostEvent& event : events_) {
+    begin_ = std::max(*begin_, event.version);
+  }
   events_.clear();
-  begin_ = version;
 }
 
 void HostEventLog::add(HostEvent event) {
--- a/source/common/platform/host_event_log.h
+++ b/source/common/platform/host_event_log.h
@@ -16,7 +16,8 @@
   /** @param mostEvents further ones push the oldest out. */
   explicit HostEventLog(size_t mostEvents = kMostEvents) : mostEvents_(mostEvents) {}
 
-  /** Everything up to the version is known from elsewhere: the log begins there. */
+  /** Everything up to the version is known from elsewhere: the log begins there, or where its last
+   * event was, if that is later. */
   void beginAt(uint64_t version);
   void add(HostEvent event);
   /** @return the events after the version; nothing where the log does not reach back to it. */
--- a/source/common/wire/payload_compression.cc
+++ b/source/common/wire/payload_compression.cc
@@ -59,8 +59,10 @@
   z_stream stream{};
   bool ready = false;
 
-  Deflation() {
-    ready = deflateInit2(&stream, Z_BEST_COMPRESSION, Z_DEFLATED, kWindowBits, kMemoryLevel,
+  explicit Deflation(CompressionEffort effort) {
+    const int level =
+        effort == CompressionEffort::kBest ? Z_BEST_COMPRESSION : Z_DEFAULT_COMPRESSION;
+    ready = deflateInit2(&stream, level, Z_DEFLATED, kWindowBits, kMemoryLevel,
                          Z_DEFAULT_STRATEGY) == Z_OK &&
             deflateSetDictionary(&stream, bytesOf(kDictionary),
                                  static_cast<uInt>(kDictionary.size())) == Z_OK;
@@ -72,11 +74,11 @@
 
 }  // namespace
 
-std::string compressPayload(std::string payload) {
+std::string compressPayload(std::string payload, CompressionEffort effort) {
   if (payload.size() < kSmallestCompressed) {
     return payload;
   }
-  Deflation deflation;
+  Deflation deflation(effort);
   if (!deflation.ready) {
     return payload;
   }
--- a/source/common/wire/payload_compression.h
+++ b/source/common/wire/payload_compression.h
@@ -9,6 +9,7 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -20,8 +21,17 @@
 /** Payloads below this stay plain, bytes: they would gain little. */
 constexpr size_t kSmallestCompressed = 96;
 
+/** How much processor time a few bytes are worth. */
+enum class CompressionEffort : uint8_t {
+  /** For what is made anew at each change and sent to a few nodes nearby. */
+  kFast,
+  /** For what is held and sent by every node. */
+  kBest,
+};
+
 /** @return the payload compressed, or as it is where that is not shorter. */
-std::string compressPayload(std::string payload);
+std::string compressPayload(std::string payload,
+                            CompressionEffort effort = CompressionEffort::kBest);
 /** @return whether the bytes are what compressPayload() makes of a longer payload. */
 bool isCompressedPayload(std::string_view bytes);
 /** Inverse for bytes of any origin; what is not compressed comes back as it is. The result has
--- a/test/common/platform/host_event_log_test.cc
+++ b/test/common/platform/host_event_log_test.cc
@@ -41,3 +41,15 @@
   CHECK_FALSE(log.since(10).has_value());
   CHECK_EQUAL(2U, log.since(11)->size());
 }
+
+/** A whole list of an older version than the log's: what came after it must not be missed. */
+TEST(HostEventLog, NeverBeginsBeforeWhatItHasTold) {
+  HostEventLog log;
+  log.beginAt(10);
+  log.add(event(15));
+  log.beginAt(12);
+  CHECK_FALSE(log.since(12).has_value());
+  CHECK_TRUE(log.since(15)->empty());
+  log.beginAt(11);
+  CHECK_FALSE(log.since(14).has_value());
+}
--- a/test/common/wire/payload_compression_test.cc
+++ b/test/common/wire/payload_compression_test.cc
@@ -49,6 +49,13 @@
   CHECK(valueOf(decodeService(packed)) == service);
 }
 
+TEST(PayloadCompression, LessEffortReadsBackAsWell) {
+  const std::string plain(100000, 'x');
+  const std::string packed = compressPayload(plain, CompressionEffort::kFast);
+  CHECK(packed.size() * 10 < plain.size());
+  CHECK(valueOf(expandPayload(packed)) == plain);
+}
+
 TEST(PayloadCompression, PlainPayloadsStayReadable) {
   const Service service = serviceOf(4);
   const std::string plain = valueOf(expandPayload(valueOf(encodeService(service))));
