Probe a store before it is read for want of a peer; wait for the others at the first start of all

Ruled out: trusting that a store is down because two peers say so (both may be cut off, and this node not: DRAIN and CONFIG would rest on them).

While it finds the store silent it asks the reader alone, so that no further peer reads in vain.

Tests: AnOutageOfTheStoreTakesNothingBackAndEndsForAll counts who calls; WhereTheStoreIsSilentOnlyTheReaderIsAsked; settings.

--- a/source/common/config/token_node_settings.cc
+++ b/source/common/config/token_node_settings.cc
@@ -80,6 +80,18 @@
       value = static_cast<uint32_t>(*found);
     }
   }
+  void flag(const char* key, bool& value) {
+    const toml::node* node = find(key, false);
+    if (node == nullptr) {
+      return;
+    }
+    const auto found = node->value_exact<bool>();
+    if (!found) {
+      fail(SettingsErrorCode::kWrongType, key, lineOf(*node), "true or false");
+    } else {
+      value = *found;
+    }
+  }
   void fraction(const char* key, double& value, double highest) {
     const toml::node* node = find(key, false);
     if (node == nullptr) {
@@ -147,6 +159,7 @@
     reader.endpoint("peer_address", settings.peerAddress, false);
     reader.endpoints("peers", settings.peers);
     reader.fraction("capacity", settings.capacity, kMostCapacity);
+    reader.flag("first_start", settings.firstStart);
     reader.number("change_bound_milliseconds", settings.changeBoundMilliseconds,
                   kLongestBoundMilliseconds);
     reader.number("drain_bound_milliseconds", settings.drainBoundMilliseconds,
@@ -186,6 +199,7 @@
   compare("peer_address", &S::peerAddress, false);
   compare("peers", &S::peers, false);
   compare("capacity", &S::capacity, false);
+  compare("first_start", &S::firstStart, false);
   compare("change_bound_milliseconds", &S::changeBoundMilliseconds, false);
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
--- a/source/common/config/token_node_settings.h
+++ b/source/common/config/token_node_settings.h
@@ -37,6 +37,8 @@
   /** Part of a processor core that the node may use: of two nodes the one with more reads the store
    * for the other. */
   double capacity = 0.1;
+  /** The whole system starts for the first time: the node waits for the others to be known. */
+  bool firstStart = false;
   /** A change of services must be in force this long after the store has it, milliseconds. */
   uint32_t changeBoundMilliseconds = 3000;
   /** A host that drains must get no new flow this long after the store has it, milliseconds. */
--- a/source/common/platform/read_source.cc
+++ b/source/common/platform/read_source.cc
@@ -75,6 +75,10 @@
 }
 
 std::optional<RosterNode> ReadSource::peerToAsk(TimePoint now) {
+  if (storeSilent_ && !candidates_.empty()) {
+    asked_ = candidates_.front().name;
+    return candidates_.front();
+  }
   const auto free = std::find_if(
       candidates_.begin(), candidates_.end(), [this, now](const RosterNode& candidate) {
         const auto penalty = penalties_.find(candidate.name);
@@ -99,6 +103,7 @@
     return;
   }
   penalties_.erase(asked_);
+  storeSilent_ = false;
   confirmedAt_ = std::max(confirmedAt_, confirmedAt);
   const double factor = 1.0 + options_.pollJitter * (2.0 * random_.unit() - 1.0);
   const auto pause = static_cast<double>(options_.poll.count()) * factor;
--- a/source/common/platform/read_source.h
+++ b/source/common/platform/read_source.h
@@ -10,6 +10,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -91,6 +92,12 @@
    */
   std::optional<RosterNode> peerToAsk(TimePoint now);
 
+  /** This node found the store silent itself: no further peer is made to read, only the first
+   * asked. Ends with the next confirmation. */
+  void onStoreSilent() { storeSilent_ = true; }
+  /** There is reason to think that a peer can confirm again. */
+  void askSoon(TimePoint now) { nextQuestion_ = std::min(nextQuestion_, now); }
+
   /** The peer reads, and was sure at `confirmedAt` that it had missed nothing. */
   void onConfirmed(TimePoint now, TimePoint confirmedAt);
   /** The peer does not read yet. */
@@ -119,6 +126,7 @@
   /** The peer asked last. */
   std::string asked_;
   uint32_t beginnings_ = 0;
+  bool storeSilent_ = false;
   std::optional<TimePoint> askedAt_;
   /** What the node holds was confirmed then; the start counts, as a list was read. */
   TimePoint confirmedAt_;
--- a/test/common/config/token_node_settings_test.cc
+++ b/test/common/config/token_node_settings_test.cc
@@ -19,6 +19,8 @@
 store = "10.200.1.7:8169"
 peer_address = "10.1.0.10:8166"
 peers = ["10.1.0.10:8166", "10.2.0.40:8166"]
+capacity = 0.25
+first_start = true
 change_bound_milliseconds = 5000
 drain_bound_milliseconds = 4000
 flow_life_seconds = 90
@@ -59,12 +61,20 @@
   CHECK_TRUE(read.peerAddress == (Endpoint{0x0A01000A, 8166}));
   LONGS_EQUAL(2, read.peers.size());
   CHECK_TRUE(read.peers[1] == (Endpoint{0x0A020028, 8166}));
+  DOUBLES_EQUAL(0.25, read.capacity, 0.0);
+  CHECK_TRUE(read.firstStart);
   CHECK_EQUAL(5000, read.changeBoundMilliseconds);
   CHECK_EQUAL(4000, read.drainBoundMilliseconds);
   CHECK_EQUAL(90, read.flowLifeSeconds);
   CHECK_EQUAL(3000, read.lingerMilliseconds);
 }
 
+TEST(TokenNodeSettings, AWholeNumberOfCoresWillDo) {
+  const auto settings = parseTokenNodeSettings(with("0.25", "2"));
+  CHECK_TRUE(isOk(settings));
+  DOUBLES_EQUAL(2.0, valueOf(settings).capacity, 0.0);
+}
+
 TEST(TokenNodeSettings, LeavesOutWhatIsNotRequired) {
   const auto settings = parseTokenNodeSettings(with("metrics = \"10.1.0.10:9464\"\n", ""));
   CHECK_TRUE(isOk(settings));
@@ -92,6 +102,10 @@
   checkRefused(SettingsErrorCode::kWrongType, "data", with("10.1.0.10:8172", "front:8172"));
   checkRefused(SettingsErrorCode::kWrongType, "flow_life_seconds", with("90", "\"90\""));
   checkRefused(SettingsErrorCode::kOutOfRange, "flow_life_seconds", with("90", "0"));
+  checkRefused(SettingsErrorCode::kWrongType, "capacity", with("0.25", "\"much\""));
+  checkRefused(SettingsErrorCode::kOutOfRange, "capacity", with("0.25", "0"));
+  checkRefused(SettingsErrorCode::kWrongType, "first_start",
+               with("first_start = true", "first_start = 1"));
   const auto missing = loadTokenNodeSettings("/nonexistent/settings.toml");
   CHECK_TRUE(errorOf(missing).code == SettingsErrorCode::kUnreadableFile);
 }
--- a/test/common/platform/read_source_test.cc
+++ b/test/common/platform/read_source_test.cc
@@ -167,6 +167,24 @@
   STRCMP_EQUAL("node-2", peer().c_str());
 }
 
+/** In an outage each further candidate would call the store in vain. */
+TEST(ReadSource, WhereTheStoreIsSilentOnlyTheReaderIsAsked) {
+  setRoster(5);
+  now += options.longestUnconfirmed + milliseconds(1);
+  source.onStoreSilent();
+  for (int failures = 0; failures < 3; ++failures) {
+    STRCMP_EQUAL("node-1", peer().c_str());
+    source.onFailure(now);
+    now += options.retry;
+  }
+  source.askSoon(now);
+  CHECK_TRUE(source.nextQuestion(now) == now);
+  confirm();
+  peer();
+  source.onFailure(now);
+  STRCMP_EQUAL("node-2", peer().c_str());
+}
+
 TEST(ReadSource, ANodeThatIsAskedReadsForAsLongAsItIsAsked) {
   setRoster(5);
   confirm();
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -61,6 +61,7 @@
   void fallSilent() { silent_ = true; }
   bool readsStore() const { return adapter_->status().readsStore; }
   uint64_t configurationVersion() const { return adapter_->status().configurationVersion; }
+  uint64_t failures() const { return adapter_->status().failures; }
   uint64_t peerConfirmations() const { return adapter_->status().peerConfirmations; }
   uint64_t answeredPeers() const { return adapter_->status().answeredPeers; }
 
@@ -101,7 +102,8 @@
     options.source.unconfirmedPenalty = milliseconds(300);
     options.source.retry = milliseconds(300);
     options.source.readForOthers = seconds(1);
-    options.registry = {milliseconds(400), seconds(1), milliseconds(200), milliseconds(50)};
+    options.registry = {milliseconds(100), seconds(1), milliseconds(200), milliseconds(50)};
+    options.settleTime = milliseconds(300);
     options.liveness.first = milliseconds(100);
     options.liveness.interval = part(10);
     options.liveness.servingInterval = part(5);
@@ -250,6 +252,12 @@
   store.setFaults(down);
   std::this_thread::sleep_for(kBound);
   CHECK_TRUE(allSee(4));
+  // All but the reader, and the two that may have been asked in its place, only probe.
+  size_t calling = 0;
+  for (const auto& node : nodes) {
+    calling += node->failures() > 0 ? 1 : 0;
+  }
+  CHECK_TRUE(calling <= 3);
   drain(2);
   const TimePoint back = steadyNow();
   store.setFaults({});
