Compress answers to peers with less effort

Change: the fast effort for these answers.

Conclusion: to be measured; whole lists are still made anew for each node that needs one.

--- a/source/common/wire/codec.cc
+++ b/source/common/wire/codec.cc
@@ -55,12 +55,13 @@
 
 /** Objects that operators create are held by every node: they are kept and sent compressed. */
 template <class Struct>
-Result<std::string, EncodeError> encodeObject(const Struct& value) {
+Result<std::string, EncodeError> encodeObject(const Struct& value,
+                                              CompressionEffort effort = CompressionEffort::kBest) {
   auto encoded = encodeStruct(value);
   if (!isOk(encoded)) {
     return encoded;
   }
-  return compressPayload(std::move(valueOf(encoded)));
+  return compressPayload(std::move(valueOf(encoded)), effort);
 }
 
 template <class Struct>
@@ -156,7 +157,7 @@
 }
 
 Result<std::string, EncodeError> encodePeerChanges(const PeerChanges& changes) {
-  return encodeObject(changes);
+  return encodeObject(changes, CompressionEffort::kFast);
 }
 Result<PeerChanges, DecodeError> decodePeerChanges(std::string_view bytes) {
   return decodeObject<PeerChanges>(bytes);
