One jitter and one reading of HTTP statuses

Cause: the same jitter stood in three classes and the same reading of a store's statuses in two, one of them new.

Change: base/jitter.h, storeErrorOfStatus() in platform/http_call.h.

--- /dev/null
+++ b/source/common/base/jitter.h
@@ -0,0 +1,16 @@
+/** @file Periods that vary, so that nodes that started together don't act together. */
+#pragma once
+
+#include "common/base/random.h"
+#include "common/base/time.h"
+
+namespace umberhold {
+
+/** @return the period, longer or shorter by up to the part of it. */
+inline Duration jittered(Duration period, double part, RandomSource& random) {
+  const double factor = 1.0 + part * (2.0 * random.unit() - 1.0);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, Duration::period>(
+      static_cast<double>(period.count()) * factor));
+}
+
+}  // namespace umberhold
--- a/source/common/health/host_health.cc
+++ b/source/common/health/host_health.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "common/base/jitter.h"
+
 namespace umberhold {
 namespace {
 
@@ -57,11 +59,6 @@
   return ownedShards_[index % shardCount_];
 }
 
-Duration HostHealth::jittered(Duration interval) {
-  const double factor = 1.0 + options_.jitter * (2.0 * random_.unit() - 1.0);
-  return std::chrono::duration_cast<Duration>(Seconds(Seconds(interval).count() * factor));
-}
-
 std::vector<HostId> HostHealth::dueProbes(TimePoint now) {
   const double most = std::max(1.0, options_.probesPerSecond);
   const double elapsed = std::max(0.0, Seconds(now - tokensAt_).count());
@@ -82,7 +79,8 @@
   for (const HostId host : due) {
     State& state = states_.at(host);
     const bool settled = state.healthy && state.misses == 0;
-    state.nextProbe = now + jittered(settled ? options_.interval : options_.intervalAfterMiss);
+    state.nextProbe = now + jittered(settled ? options_.interval : options_.intervalAfterMiss,
+                                     options_.jitter, random_);
   }
   return due;
 }
@@ -115,7 +113,8 @@
     becomeHealthy(now, state);
   }
   if (!healthy) {
-    state.nextProbe = std::min(state.nextProbe, now + jittered(options_.intervalAfterMiss));
+    state.nextProbe = std::min(
+        state.nextProbe, now + jittered(options_.intervalAfterMiss, options_.jitter, random_));
   }
 }
 
--- a/source/common/health/host_health.h
+++ b/source/common/health/host_health.h
@@ -117,7 +117,6 @@
   bool mostAreUnhealthy(TimePoint now) const;
   /** Call before anything changes that may end a panic. */
   void notePanic(TimePoint now);
-  Duration jittered(Duration interval);
   bool ownsIndex(size_t index) const;
   bool believedHealthy(TimePoint now, const State& state) const;
 
--- a/source/common/platform/http_call.cc
+++ b/source/common/platform/http_call.cc
@@ -9,6 +9,32 @@
 #include "common/platform/http_exchange.h"
 
 namespace umberhold {
+namespace {
+
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpGone = 410;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServerError = 500;
+constexpr int kHttpUnavailable = 503;
+
+}  // namespace
+
+StoreErrorCode storeErrorOfStatus(int status) {
+  switch (status) {
+    case kHttpNotFound:
+      return StoreErrorCode::kNotFound;
+    case kHttpConflict:
+      return StoreErrorCode::kConflict;
+    case kHttpGone:
+      return StoreErrorCode::kTooOld;
+    case kHttpTooManyRequests:
+    case kHttpUnavailable:
+      return StoreErrorCode::kUnavailable;
+    default:
+      return status >= kHttpServerError ? StoreErrorCode::kAnswerLost : StoreErrorCode::kRejected;
+  }
+}
 
 Result<HttpCallAnswer, StoreError> callHttp(const Endpoint& server, const HttpCall& call,
                                             const CallLimits& limits) {
--- a/source/common/platform/http_call.h
+++ b/source/common/platform/http_call.h
@@ -49,6 +49,14 @@
   std::optional<Duration> retryAfter;
 };
 
+constexpr int kHttpOk = 200;
+
+/**
+ * @return what a status other than 200 says of a call to a store. 500, 502 and 504 may come from a
+ * gateway after the change took effect: the answer counts as lost.
+ */
+StoreErrorCode storeErrorOfStatus(int status);
+
 /** Calls; a StoreError is kUnavailable (nothing sent) or kAnswerLost (sent, no whole answer). */
 Result<HttpCallAnswer, StoreError> callHttp(const Endpoint& server, const HttpCall& call,
                                             const CallLimits& limits);
--- a/source/common/platform/http_platform_store.cc
+++ b/source/common/platform/http_platform_store.cc
@@ -10,14 +10,6 @@
 constexpr const char* kBasePath = "/api/v1/";
 constexpr size_t kListPage = 500;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-constexpr int kStatusGone = 410;
-constexpr int kStatusTooManyRequests = 429;
-constexpr int kStatusServerError = 500;
-constexpr int kStatusUnavailable = 503;
-
 std::string escape(const std::string& part) {
   std::string escaped;
   Poco::URI::encode(part, "/?#&=+%", escaped);
@@ -28,24 +20,6 @@
   return kBasePath + toString(collection) + "/" + escape(name);
 }
 
-/** 500, 502 and 504 may come from a gateway after the change took effect: the answer counts as
- * lost. */
-StoreErrorCode classifyStatus(int status) {
-  switch (status) {
-    case kStatusNotFound:
-      return StoreErrorCode::kNotFound;
-    case kStatusConflict:
-      return StoreErrorCode::kConflict;
-    case kStatusGone:
-      return StoreErrorCode::kTooOld;
-    case kStatusTooManyRequests:
-    case kStatusUnavailable:
-      return StoreErrorCode::kUnavailable;
-    default:
-      return status >= kStatusServerError ? StoreErrorCode::kAnswerLost : StoreErrorCode::kRejected;
-  }
-}
-
 /** A change whose 200 can't be read has happened: what is lost is only the answer. */
 Result<uint64_t, StoreError> decodeChangeAnswer(const std::string& body) {
   auto version = decodeVersion(body);
@@ -66,8 +40,8 @@
     return errorOf(answer);
   }
   HttpCallAnswer& whole = valueOf(answer);
-  if (whole.status != kStatusOk) {
-    return StoreError{classifyStatus(whole.status),
+  if (whole.status != kHttpOk) {
+    return StoreError{storeErrorOfStatus(whole.status),
                       "status " + std::to_string(whole.status) + ": " + whole.body,
                       whole.retryAfter};
   }
--- a/source/common/platform/read_source.cc
+++ b/source/common/platform/read_source.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "common/base/jitter.h"
+
 namespace umberhold {
 
 std::string_view toString(ReadCause cause) {
@@ -105,9 +107,7 @@
   penalties_.erase(asked_);
   storeSilent_ = false;
   confirmedAt_ = std::max(confirmedAt_, confirmedAt);
-  const double factor = 1.0 + options_.pollJitter * (2.0 * random_.unit() - 1.0);
-  const auto pause = static_cast<double>(options_.poll.count()) * factor;
-  nextQuestion_ = now + Duration{static_cast<Duration::rep>(pause)};
+  nextQuestion_ = now + jittered(options_.poll, options_.pollJitter, random_);
 }
 
 void ReadSource::onBeginning(TimePoint now) {
--- a/source/common/platform/store_liveness.h
+++ b/source/common/platform/store_liveness.h
@@ -53,8 +53,6 @@
   bool isSilent() const { return silent_; }
 
  private:
-  Duration jittered(Duration interval);
-
   const StoreLivenessOptions options_;
   RandomSource& random_;
   TimePoint nextProbe_;
