--- /dev/null
+++ b/test/platform/store/store_copy_property.cc
@@ -0,0 +1,215 @@
+/**
+ * @file Copies of the store that read it and tell each other, in any order, against its history.
+ *
+ * A copy that claims to know everything up to a version must hold of every host what the store had
+ * at that version, or something newer: so nothing older replaces anything newer, and what was
+ * removed stays removed.
+ */
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/base/random.h"
+#include "platform/store/store_copy.h"
+#include "test/support/without_leak_detection.h"
+
+using namespace umberhold;
+using namespace umberhold::platform;
+
+namespace {
+
+constexpr uint64_t kSeeds = 150;
+constexpr int kSteps = 400;
+constexpr size_t kCopies = 5;
+constexpr uint64_t kHosts = 12;
+
+/** One change of a host in the store's history. */
+struct Change {
+  uint64_t revision = 0;
+  uint64_t madeAt = 0;
+  bool gone = false;
+  bool draining = false;
+};
+
+std::string hostName(uint64_t host) {
+  return "i-" + std::to_string(host + 1);
+}
+
+/** The store with all that ever happened in it. */
+class History {
+ public:
+  void change(uint64_t host, RandomSource& random) {
+    std::vector<Change>& changes = hosts_[host];
+    const bool exists = !changes.empty() && !changes.back().gone;
+    Change next;
+    next.revision = ++revision_;
+    next.gone = exists && random.unit() < 0.3;
+    next.draining = random.unit() < 0.3;
+    next.madeAt = exists ? changes.back().madeAt : revision_;
+    changes.push_back(next);
+  }
+  uint64_t revision() const { return revision_; }
+  /** @return the host's last change up to the revision. */
+  std::optional<Change> at(uint64_t host, uint64_t revision) const {
+    std::optional<Change> last;
+    const auto changes = hosts_.find(host);
+    if (changes != hosts_.end()) {
+      for (const Change& change : changes->second) {
+        last = change.revision <= revision ? change : last;
+      }
+    }
+    return last;
+  }
+  /** @return the events after `since`, in order. */
+  std::vector<StoreObject> since(uint64_t since) const {
+    std::map<uint64_t, StoreObject> events;
+    for (const auto& [host, changes] : hosts_) {
+      for (const Change& change : changes) {
+        if (change.revision > since) {
+          events[change.revision] = objectOf(host, change);
+        }
+      }
+    }
+    std::vector<StoreObject> ordered;
+    for (auto& [revision, event] : events) {
+      ordered.push_back(std::move(event));
+    }
+    return ordered;
+  }
+  std::vector<StoreObject> list(uint64_t revision) const {
+    std::vector<StoreObject> all;
+    for (const auto& [host, changes] : hosts_) {
+      const auto last = at(host, revision);
+      if (last && !last->gone) {
+        all.push_back(objectOf(host, *last));
+      }
+    }
+    return all;
+  }
+
+ private:
+  static StoreObject objectOf(uint64_t host, const Change& change) {
+    RegisteredHost registered;
+    registered.id = hostName(host);
+    registered.service = "s-one";
+    // Each host has an address of its own: none supersedes another here.
+    registered.address = Endpoint{0x0A000000 + static_cast<uint32_t>(host), 80};
+    registered.draining = change.draining;
+    StoreObject object{hostName(host), change.revision, change.madeAt, change.gone, registered};
+    if (change.gone) {
+      object.specification = Unreadable{};
+    }
+    return object;
+  }
+
+  uint64_t revision_ = 0;
+  std::map<uint64_t, std::vector<Change>> hosts_;
+};
+
+/** A copy with the version that it claims. */
+struct Copy {
+  StoreCopy copy{"addis", HostPresenceOptions{}};
+  uint64_t version = 0;
+
+  void readLaggingList(TimePoint now, const History& history, uint64_t revision) {
+    for (StoreObject& object : history.list(revision)) {
+      copy.apply(now, std::move(object));
+    }
+    copy.onLaggingHostList(revision);
+    version = revision;
+  }
+  void readList(TimePoint now, const History& history) {
+    std::set<std::string> names;
+    for (StoreObject& object : history.list(history.revision())) {
+      names.insert(object.name);
+      copy.apply(now, std::move(object));
+    }
+    copy.onHostList(now, history.revision(), names);
+    version = history.revision();
+  }
+  void watch(TimePoint now, const History& history) {
+    for (StoreObject& event : history.since(version)) {
+      copy.apply(now, std::move(event));
+    }
+    version = history.revision();
+  }
+  void ask(TimePoint now, const Copy& peer) {
+    PeerChanges changes;
+    changes.hostsVersion = peer.version;
+    peer.copy.describeChanges(now, version, changes);
+    copy.apply(now, changes);
+    version = std::max(version, peer.version);
+  }
+  /** @return whether it holds what the store had at its version, or something newer. */
+  bool holds(const History& history) const {
+    std::map<std::string, uint64_t> held;
+    for (const StoreObject& object : copy.page(StoreKind::kHosts).objects) {
+      held[object.name] = object.revision;
+    }
+    for (uint64_t host = 0; host < kHosts; ++host) {
+      const auto there = history.at(host, version);
+      const auto found = held.find(hostName(host));
+      const bool newer = found != held.end() && there && found->second > there->revision;
+      const bool same =
+          found != held.end() && there && !there->gone && found->second == there->revision;
+      const bool absent = found == held.end() && (!there || there->gone);
+      // It may have heard of a host's end that came after its version.
+      const auto now = history.at(host, history.revision());
+      const bool endedLater = found == held.end() && now && now->gone;
+      const bool appearedLater = found != held.end() && !there;
+      if (!newer && !same && !absent && !endedLater && !appearedLater) {
+        return false;
+      }
+    }
+    return true;
+  }
+};
+
+/** @return whether every copy kept its promise after every step. */
+bool keepsItsPromise(uint64_t seed) {
+  RandomSource random(seed);
+  History history;
+  std::vector<Copy> copies(kCopies);
+  TimePoint now{std::chrono::seconds(1000)};
+  for (uint64_t host = 0; host < kHosts / 2; ++host) {
+    history.change(host, random);
+  }
+  for (Copy& copy : copies) {
+    copy.readLaggingList(now, history, 1 + random.below(history.revision()));
+  }
+  for (int step = 0; step < kSteps; ++step) {
+    now += std::chrono::milliseconds(random.below(100));
+    Copy& copy = copies[random.below(kCopies)];
+    const double choice = random.unit();
+    if (choice < 0.4) {
+      history.change(random.below(kHosts), random);
+    } else if (choice < 0.55) {
+      copy.watch(now, history);
+    } else if (choice < 0.6) {
+      copy.readList(now, history);
+    } else {
+      const Copy& peer = copies[random.below(kCopies)];
+      if (&peer != &copy) {
+        copy.ask(now, peer);
+      }
+    }
+    for (const Copy& each : copies) {
+      if (!each.holds(history)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+TEST_GROUP_BASE(StoreCopyProperty, test::WithoutLeakDetection){};
+
+TEST(StoreCopyProperty, NoCopyIsEverOlderThanItClaims) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CHECK_TRUE_TEXT(keepsItsPromise(seed), ("seed " + std::to_string(seed)).c_str());
+  }
+}
