Let an owner that gave way without flows leave at once

A shard that two nodes built with one epoch leaves the one that gave way with a released state that nobody fetches, and no notice of a higher epoch comes: the leave waits for it.

Change: such a state without flows counts as handed over; one with flows is kept as before.

--- a/source/common/shard/local_shard.cc
+++ b/source/common/shard/local_shard.cc
@@ -385,8 +385,13 @@
 }
 
 bool LocalShard::isHandedOver() const {
-  const bool holds = role_ == ShardRole::kOwner || (role_ == ShardRole::kReleased && !handedOver_);
-  return !holds;
+  if (role_ == ShardRole::kOwner) {
+    return false;
+  }
+  // Nobody fetches the state of an owner that gave way: the newer one has its own.
+  const bool gaveWay = fenced_ && successor_ != context_.self();
+  const bool nothingToGive = gaveWay && context_.flows.flowCount(flowSlot_) == 0;
+  return role_ != ShardRole::kReleased || handedOver_ || nothingToGive;
 }
 
 }  // namespace umberhold
--- a/test/common/shard/shard_director_test.cc
+++ b/test/common/shard/shard_director_test.cc
@@ -198,3 +198,24 @@
   node.director.onMemberChanged(dead);
   CHECK(node.ask(kAsker, 0)->role == HeldRole::kNothing);
 }
+
+/** Found with real processes: nobody fetched the empty state of an owner that had given way to one
+ * of the same epoch, and its planned stop waited for that until its limit. */
+TEST(ShardDirector, OwnerThatGaveWayWithoutFlowsHoldsNoLeaveUp) {
+  LoneNode node;
+  node.tick();
+  CHECK_EQUAL(1U, node.director.ownedShards());
+  node.deliver(kNewcomer, OwnershipNotice{kShard, 1, false});
+  CHECK_EQUAL(0U, node.director.ownedShards());
+  Member newcomer;
+  newcomer.id = kNewcomer;
+  newcomer.state = MemberState::kAlive;
+  node.view.apply(newcomer);
+  node.director.onMemberChanged(newcomer);
+  Member leaving = LoneNode::member();
+  leaving.state = MemberState::kLeaving;
+  node.view.apply(leaving);
+  node.director.onMemberChanged(leaving);
+  node.director.leave(node.now);
+  CHECK(node.director.handedOver());
+}
