Claim the loopback addresses of a run, so that runs side by side never share a system

Cause: experiment and scale chose the second number of their 127.x addresses from the process id modulo 200. Two runs whose ids are equal modulo 200 started their stand-ins at the same addresses; the second's ended at once, and both runs talked to the first's.

Ruled out: a slow machine (a time-out would have taken 30 s).

Change: AddressBlock binds a socket of the block for the life of the run and passes over blocks that are taken; a run whose own stand-in has ended although something answers is not started (kStandinEnded).

--- a/bench/experiment/environment.cc
+++ b/bench/experiment/environment.cc
@@ -142,17 +142,29 @@
       return hosts;
     }
   }
-  const bool up = eventually([this] { return httpOk(platformControl(), "/control/stats"); });
-  if (!up) {
-    return StartError{StartErrorCode::kStandinSilent, "platform"};
+  const auto platform = awaitStandin("platform", platformControl(), "/control/stats");
+  if (!isOk(platform)) {
+    return platform;
   }
-  if (!eventually([this] { return httpOk(proxyControl(), "/control/stats"); })) {
-    return StartError{StartErrorCode::kStandinSilent, "proxy"};
+  const auto proxy = awaitStandin("proxy", proxyControl(), "/control/stats");
+  if (!isOk(proxy)) {
+    return proxy;
   }
   setZoneLatency();
   return Ok{};
 }
 
+Result<Ok, StartError> Environment::awaitStandin(const std::string& process, const Endpoint& server,
+                                                 const std::string& path) {
+  if (!eventually([&] { return httpOk(server, path); })) {
+    return StartError{StartErrorCode::kStandinSilent, process};
+  }
+  if (!processes_.running(process)) {
+    return StartError{StartErrorCode::kStandinEnded, process};
+  }
+  return Ok{};
+}
+
 void Environment::startBackend(const RegionPlan& region) {
   std::vector<std::string> arguments = {
       "--control",    toString(backendControl(region)),
@@ -176,6 +188,9 @@
   if (!up) {
     return StartError{StartErrorCode::kStandinSilent, "backend-" + region.name};
   }
+  if (!processes_.running("backend-" + region.name)) {
+    return StartError{StartErrorCode::kStandinEnded, "backend-" + region.name};
+  }
   const auto hosts = Poco::JSON::Parser().parse(reply->body).extract<Poco::JSON::Array::Ptr>();
   for (const ServicePlan& plan : region.services) {
     Service service = serviceOf(region, plan);
@@ -338,16 +353,19 @@
                       toString(control), "--lag-ms", std::to_string(kFabricLagMillis), "--seed",
                       std::to_string(options_.seed), "--latency-us",
                       std::to_string(region.clientLatencyMicros)});
-    if (!eventually([&] { return httpOk(control, "/control/stats"); })) {
-      return StartError{StartErrorCode::kStandinSilent, "fabric-" + region.name};
+    const auto fabric = awaitStandin("fabric-" + region.name, control, "/control/stats");
+    if (!isOk(fabric)) {
+      return fabric;
     }
     tellFabric(region.name);
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(kFabricLagMillis + 200));
   for (const RegionPlan& region : deployment_.regions) {
     startCallers(region);
-    if (!eventually([&] { return httpOk(callerControl(region), "/control/report"); })) {
-      return StartError{StartErrorCode::kStandinSilent, "caller-" + region.name};
+    const auto caller =
+        awaitStandin("caller-" + region.name, callerControl(region), "/control/report");
+    if (!isOk(caller)) {
+      return caller;
     }
   }
   return Ok{};
--- a/bench/experiment/environment.h
+++ b/bench/experiment/environment.h
@@ -31,7 +31,13 @@
 };
 
 /** Why the environment did not come up. */
-enum class StartErrorCode : uint8_t { kProgramMissing, kStandinSilent, kNodeNotReady };
+enum class StartErrorCode : uint8_t {
+  kProgramMissing,
+  kStandinSilent,
+  /** Something answered at its address, but the process of this run has ended. */
+  kStandinEnded,
+  kNodeNotReady
+};
 
 /** A failed start. */
 struct StartError {
@@ -92,6 +98,9 @@
   std::string program(const std::string& name) const;
   std::string writeSettings(const NodePlan& node) const;
   Result<Ok, StartError> startStandins();
+  /** Waits until the path is answered, and by a process of this run. */
+  Result<Ok, StartError> awaitStandin(const std::string& process, const Endpoint& server,
+                                      const std::string& path);
   Result<Ok, StartError> readHosts(const RegionPlan& region);
   void startBackend(const RegionPlan& region);
   void startProxy();
--- a/bench/experiment/experiment_main.cc
+++ b/bench/experiment/experiment_main.cc
@@ -4,11 +4,11 @@
 #include <Poco/TemporaryFile.h>
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
-#include <unistd.h>
 
 #include <filesystem>
 #include <iostream>
 
+#include "bench/support/address_block.h"
 #include "scenario.h"
 #include "summary.h"
 
@@ -22,19 +22,14 @@
 constexpr int kNotStarted = 3;
 constexpr int kNotMeasured = 4;
 
-/** Second number of the loopback addresses: differs between processes that run side by side. */
-uint8_t addressBlock() {
-  constexpr int kFirstBlock = 20;
-  constexpr int kBlocks = 200;
-  return static_cast<uint8_t>(kFirstBlock + getpid() % kBlocks);
-}
-
 std::string describe(const StartError& error) {
   switch (error.code) {
     case StartErrorCode::kProgramMissing:
       return "no such program: " + error.process;
     case StartErrorCode::kStandinSilent:
       return "no answer in time: " + error.process;
+    case StartErrorCode::kStandinEnded:
+      return "ended at its start: " + error.process;
     case StartErrorCode::kNodeNotReady:
       return "not ready in time: " + error.process;
   }
@@ -58,7 +53,12 @@
 
 int runScenario(const Scenario& scenario, const SummaryHeader& header,
                 const EnvironmentOptions& options, uint32_t seconds) {
-  ExperimentRun run(planDeployment(addressBlock()), options, seconds);
+  const auto block = AddressBlock::claim();
+  if (!block) {
+    std::cerr << "experiment not started: no free loopback addresses\n";
+    return kNotStarted;
+  }
+  ExperimentRun run(planDeployment(block->number()), options, seconds);
   std::cout << "experiment " << scenario.name << ": " << scenario.description << "\n"
             << "logs and settings: " << options.workFolder << std::endl;
   const auto started = run.start();
--- a/bench/scale/scale_main.cc
+++ b/bench/scale/scale_main.cc
@@ -14,6 +14,7 @@
 #include "bench/scale/real_node_memory.h"
 #include "bench/scale/scale_figures.h"
 #include "bench/scale/scale_run.h"
+#include "bench/support/address_block.h"
 
 namespace {
 
@@ -24,13 +25,7 @@
 constexpr int kBroken = 1;
 constexpr int kNotStarted = 3;
 constexpr int kNoHollow = -1;
-
-/** Second number of the loopback addresses: differs between runs side by side. */
-uint8_t addressBlock() {
-  constexpr int kFirstBlock = 20;
-  constexpr int kBlocks = 200;
-  return static_cast<uint8_t>(kFirstBlock + getpid() % kBlocks);
-}
+constexpr int kOwnBlock = 0;
 
 const char* describe(ScaleError error) {
   switch (error) {
@@ -79,8 +74,8 @@
                               "process", command);
   TCLAP::ValueArg<std::string> report("", "report", "file of a hollow process's lines", false, "",
                                       "path", command);
-  TCLAP::ValueArg<int> block("", "block", "second number of the loopback addresses", false,
-                             addressBlock(), "number", command);
+  TCLAP::ValueArg<int> block("", "block", "second number of the loopback addresses; 0: a free one",
+                             false, kOwnBlock, "number", command);
   TCLAP::SwitchArg full("", "full-configuration",
                         "measure one node with the design size's whole configuration instead",
                         command);
@@ -97,6 +92,15 @@
   options.seed = seed.getValue();
   options.flowsPerSecond = flows.getValue();
   options.block = static_cast<uint8_t>(block.getValue());
+  std::optional<experiment::AddressBlock> claimed;
+  if (block.getValue() == kOwnBlock) {
+    claimed = experiment::AddressBlock::claim();
+    if (!claimed) {
+      std::cerr << "scale: no free loopback addresses\n";
+      return kNotStarted;
+    }
+    options.block = claimed->number();
+  }
   options.selfPath = self.string();
   options.programFolder = (self.parent_path().parent_path() / "source").string();
   try {
