Refuse repeatable flows whose host acknowledges nothing

Nodes saw the copies go by and made nothing of them.

Change: FlowProgress notices copies of unacknowledged data without state for each flow, and only if the node had handled all that had arrived since the copy before: a node that is behind sees copies that its host acknowledged long ago. Two copies make a host silent for new flows, as unanswered openings do. Tests: FlowProgress (six cases), TokenDirector (four cases), each failing without the change.

Requests that may run once only still wait for their host.

--- a/source/common/config/service.h
+++ b/source/common/config/service.h
@@ -106,13 +106,18 @@
    * strategy "token" (flow/token_director.h) only.
    */
   std::vector<HostGroup> groups;
+  /**
+   * Callers may send a request of this service again: a flow whose host stays silent is refused, so
+   * that they do it early. For the strategy "token" only.
+   */
+  bool repeatable = false;
 
   bool operator==(const Service&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(name, region, address, port, protocol, policy, idleTimeoutSeconds, shardCount, hosts,
-            groups);
+            groups, repeatable);
   }
 };
 
--- a/source/common/flow/flow_director.cc
+++ b/source/common/flow/flow_director.cc
@@ -8,6 +8,8 @@
       return "no_host";
     case RefusalReason::kHostEnded:
       return "host_ended";
+    case RefusalReason::kHostSilent:
+      return "host_silent";
     case RefusalReason::kUnknownService:
       return "unknown_service";
     case RefusalReason::kCount:
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -34,6 +34,10 @@
   uint8_t timeToLive = 64;
   /** Flow token that the caller reflects (packet/packet_format.h); 0: none. */
   uint32_t token = 0;
+  /** As in ParsedPacket. */
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;
+  uint32_t dataBytes = 0;
 };
 
 /** A host's names, for people; valid until the director's next change of hosts. */
@@ -92,6 +96,8 @@
   kNoHost,
   /** The flow's host has surely ended. */
   kHostEnded,
+  /** The flow's host acknowledges nothing, and its callers may repeat their requests elsewhere. */
+  kHostSilent,
   /** No service has the address. */
   kUnknownService,
   kCount,
--- /dev/null
+++ b/source/common/flow/flow_progress.cc
@@ -0,0 +1,54 @@
+#include "common/flow/flow_progress.h"
+
+namespace umberhold {
+namespace {
+
+/**
+ * Callers send data again after at least this long; packets of one flow within it are parts of one
+ * request, of which the first stands for all.
+ */
+constexpr Duration kShortestRepeat = std::chrono::milliseconds(150);
+
+/** @return whether a sequence number comes after another, which may have wrapped around. */
+bool isAfter(uint32_t left, uint32_t right) {
+  return static_cast<int32_t>(left - right) > 0;
+}
+
+}  // namespace
+
+PacketProgress FlowProgress::begin(TimePoint now, const FlowPacket& packet, Entry& entry) const {
+  const uint32_t copies = packet.dataBytes > 0 ? 1 : 0;
+  entry = {packet.hash, packet.token, packet.sequence, packet.acknowledged, copies, now,
+           now,         caughtUp_};
+  return {copies, now, false};
+}
+
+PacketProgress FlowProgress::note(TimePoint now, const FlowPacket& packet) {
+  Entry& entry = entries_[packet.hash.value % entries_.size()];
+  if (entry.flow != packet.hash || entry.token != packet.token) {
+    return begin(now, packet, entry);
+  }
+  if (isAfter(packet.acknowledged, entry.acknowledged)) {
+    PacketProgress progress = begin(now, packet, entry);
+    progress.answered = true;
+    return progress;
+  }
+  if (packet.dataBytes == 0) {
+    return {0, entry.firstAt, false};
+  }
+  if (entry.copies == 0 || (packet.sequence != entry.sequence && now - entry.lastAt >= kShortestRepeat)) {
+    return begin(now, packet, entry);
+  }
+  if (packet.sequence != entry.sequence) {
+    return {1, entry.firstAt, false};
+  }
+  if (now - entry.lastAt >= kShortestRepeat && entry.caughtUp != caughtUp_) {
+    ++entry.copies;
+    entry.lastAt = now;
+    entry.caughtUp = caughtUp_;
+    return {entry.copies, entry.firstAt, false};
+  }
+  return {1, entry.firstAt, false};
+}
+
+}  // namespace umberhold
--- a/source/common/flow/host_estimate.h
+++ b/source/common/flow/host_estimate.h
@@ -16,7 +16,7 @@
   void onOpening(TimePoint now) { add(now, kOpeningLoad); }
   /** A later packet of a flow. */
   void onPacket(TimePoint now) { add(now, 1.0); }
-  /** A caller repeated its opening packet: the host has not answered the earlier one. */
+  /** A caller repeated a packet: the host has not answered the earlier copy. */
   void onUnanswered(TimePoint now) {
     ++unanswered_;
     if (unanswered_ >= kSilentAfter) {
@@ -24,13 +24,21 @@
     }
   }
   /** A caller went on with a flow: the host has answered. */
-  void onAnswered() {
+  void onAnswered(TimePoint now) {
     unanswered_ = 0;
+    answeredAt_ = now;
     silentUntil_ = TimePoint{};
   }
 
   /** @return packets of late, each weighed by its age. */
   double load(TimePoint now) const { return load_ * decay(now); }
+  /**
+   * @return whether callers of any flow repeated enough packets since `since` without the host
+   * answering any, to take it for dead.
+   */
+  bool isDeadSince(TimePoint since) const {
+    return unanswered_ >= kDeadAfter && answeredAt_ <= since;
+  }
   /** @return whether the host left several callers without an answer a short while ago. */
   bool isSilent(TimePoint now) const { return now < silentUntil_; }
 
@@ -40,6 +48,7 @@
   static constexpr Duration kHalfLife = std::chrono::seconds(6);
   /** A single packet may be lost; two in a row without an answer tell of the host. */
   static constexpr uint32_t kSilentAfter = 2;
+  static constexpr uint32_t kDeadAfter = 3;
   static constexpr Duration kSilentTime = std::chrono::seconds(3);
 
   double decay(TimePoint now) const {
@@ -54,6 +63,7 @@
   double load_ = 0.0;
   TimePoint at_{};
   uint32_t unanswered_ = 0;
+  TimePoint answeredAt_{};
   TimePoint silentUntil_{};
 };
 
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -20,6 +20,8 @@
 constexpr Duration kVanishedGrace = std::chrono::milliseconds(1500);
 /** Below this part of an equal share of the hosts, a zone sends some of its flows elsewhere. */
 constexpr double kFewHosts = 0.9;
+/** A flow is refused no sooner than at this copy of a packet; see HostEstimate::isDeadSince. */
+constexpr uint32_t kCopiesOfSilentHost = 3;
 /** Ranks of later tiers lie beyond every load. */
 constexpr double kTier = 1e9;
 
@@ -58,6 +60,7 @@
   ServiceEntry& entry = services_[id];
   entry.name = service.name;
   entry.listen = listenKey(service.address, service.port, service.protocol);
+  entry.repeatable = service.repeatable;
   for (const HostGroup& group : service.groups) {
     // Nodes start at different places, so that few flows over many nodes are split well too.
     entry.groups.push_back({group, random_.unit()});
@@ -195,13 +198,30 @@
   }
   Opening& opening = openingOf(packet.hash);
   if (opening.flow == packet.hash && opening.token == packet.token) {
-    host.estimate.onAnswered();
+    host.estimate.onAnswered(now);
     opening = {};
   }
+  if (noteProgress(now, packet, host)) {
+    return RefuseFlow{RefusalReason::kHostSilent};
+  }
   host.estimate.onPacket(now);
   return forward(host, packet.token);
 }
 
+bool TokenDirector::noteProgress(TimePoint now, const FlowPacket& packet, Host& host) {
+  const PacketProgress progress = progress_.note(now, packet);
+  if (progress.answered) {
+    host.estimate.onAnswered(now);
+  }
+  if (progress.copies < 2) {
+    return false;
+  }
+  host.estimate.onUnanswered(now);
+  const auto service = services_.find(packet.service);
+  return progress.copies >= kCopiesOfSilentHost && host.estimate.isDeadSince(progress.firstAt) &&
+         service != services_.end() && service->second.repeatable;
+}
+
 uint32_t TokenDirector::noteRepeat(TimePoint now, const FlowPacket& packet) {
   const Opening& earlier = openingOf(packet.hash);
   if (earlier.flow != packet.hash || earlier.token == 0 || now - earlier.at > kRepeatWindow) {
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -19,6 +19,7 @@
 #include "common/base/random.h"
 #include "common/config/service.h"
 #include "common/flow/flow_director.h"
+#include "common/flow/flow_progress.h"
 #include "common/flow/host_estimate.h"
 #include "common/packet/service_lookup.h"
 
@@ -82,6 +83,9 @@
   std::optional<ServiceMatch> find(uint32_t address, uint16_t port,
                                    TransportProtocol protocol) const override;
 
+  /** Every packet that had arrived was handled; see FlowProgress. */
+  void onCaughtUp() { progress_.onCaughtUp(); }
+
   size_t serviceCount() const { return services_.size(); }
   /** @return hosts that some pool lists. */
   size_t listedHostCount() const;
@@ -110,6 +114,7 @@
     std::string name;
     uint64_t listen = 0;
     std::vector<Group> groups;
+    bool repeatable = false;
   };
   /** The last opening packet of a flow, until the flow's next packet. */
   struct Opening {
@@ -140,6 +145,9 @@
 
   FlowDecision open(TimePoint now, const FlowPacket& packet);
   FlowDecision follow(TimePoint now, const FlowPacket& packet);
+  /** Notes what the packet tells of its host. @return whether the flow is to be refused, since its
+   * host is silent and its caller may repeat the request. */
+  bool noteProgress(TimePoint now, const FlowPacket& packet, Host& host);
   Opening& openingOf(FlowHash flow) { return openings_[flow.value % openings_.size()]; }
   /** @return the token of the host that left an earlier copy of this opening packet unanswered; 0
    * for none. */
@@ -176,6 +184,7 @@
   PlacementEvidence evidence_;
   static constexpr size_t kOpenings = 1024;
   std::array<Opening, kOpenings> openings_{};
+  FlowProgress progress_;
 };
 
 }  // namespace umberhold
--- a/source/common/packet/packet_parser.h
+++ b/source/common/packet/packet_parser.h
@@ -22,6 +22,11 @@
   size_t totalLength = 0;
   /** Flow token that the caller reflects, in formats that have one; 0: none. */
   uint32_t token = 0;
+  /** Sequence numbers of the transport, in formats that tell them. */
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;
+  /** Bytes of data whose sequence number is told; 0 in formats that tell none. */
+  uint32_t dataBytes = 0;
 };
 
 /**
--- a/source/common/packet/packet_path.cc
+++ b/source/common/packet/packet_path.cc
@@ -55,6 +55,9 @@
   flow.source = source;
   flow.timeToLive = packet.timeToLive;
   flow.token = packet.token;
+  flow.sequence = packet.sequence;
+  flow.acknowledged = packet.acknowledged;
+  flow.dataBytes = packet.dataBytes;
   return director_.decide(now, flow, bytes);
 }
 
--- a/source/common/platform/object_json.cc
+++ b/source/common/platform/object_json.cc
@@ -31,6 +31,8 @@
 
 constexpr const char* kTcp = "tcp";
 constexpr const char* kUdp = "udp";
+constexpr const char* kOnce = "once";
+constexpr const char* kRepeatable = "repeatable";
 constexpr const char* kActive = "active";
 constexpr const char* kDraining = "draining";
 
@@ -68,6 +70,14 @@
   return text == kUdp ? TransportProtocol::kUdp : TransportProtocol::kTcp;
 }
 
+bool readRepeatable(JsonFieldReader& reader) {
+  const std::string text = reader.optionalText("requests", kOnce);
+  if (text != kOnce && text != kRepeatable) {
+    reader.fail(ObjectErrorCode::kInvalidValue, "requests", "must be \"once\" or \"repeatable\"");
+  }
+  return text == kRepeatable;
+}
+
 uint32_t readAddress(JsonFieldReader& reader) {
   const auto address = parseAddress(reader.requiredText("address"));
   if (!address) {
@@ -241,6 +251,7 @@
       reader.optionalInteger("shards", 1, kHighestShardCount, service.shardCount));
   service.hosts = readHosts(reader, error);
   service.groups = readGroups(reader, error);
+  service.repeatable = readRepeatable(reader);
   reader.refuseOtherKeys();
   if (error) {
     return *error;
@@ -261,6 +272,9 @@
   if (!service.groups.empty()) {
     object.set("groups", groupsToJson(service.groups));
   }
+  if (service.repeatable) {
+    object.set("requests", kRepeatable);
+  }
   return stringify(object);
 }
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -92,6 +92,7 @@
         now = done;
       });
     }
+    director.onCaughtUp();
     flushLog();
   }
 
--- /dev/null
+++ b/test/common/flow/flow_progress_test.cc
@@ -0,0 +1,97 @@
+/** @file Which packets count as copies that a host left without an acknowledgement. */
+#include "common/flow/flow_progress.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kToken = 5;
+
+}  // namespace
+
+TEST_GROUP(FlowProgress) {
+  FlowProgress progress;
+  TimePoint now{seconds(1000)};
+
+  static FlowPacket packet(uint32_t sequence, uint32_t acknowledged, uint32_t bytes) {
+    FlowPacket made;
+    made.hash = FlowHash{1};
+    made.token = kToken;
+    made.phase = PacketPhase::kContinuing;
+    made.sequence = sequence;
+    made.acknowledged = acknowledged;
+    made.dataBytes = bytes;
+    return made;
+  }
+  /** The node keeps up: each packet is handled as it arrives. */
+  PacketProgress note(uint32_t sequence, uint32_t acknowledged, uint32_t bytes = 100) {
+    const PacketProgress noted = progress.note(now, packet(sequence, acknowledged, bytes));
+    progress.onCaughtUp();
+    return noted;
+  }
+};
+
+TEST(FlowProgress, CountsTheCopiesOfOnePacket) {
+  const TimePoint first = now;
+  LONGS_EQUAL(1, note(10, 1).copies);
+  now += milliseconds(200);
+  LONGS_EQUAL(2, note(10, 1).copies);
+  now += milliseconds(400);
+  const PacketProgress third = note(10, 1);
+  LONGS_EQUAL(3, third.copies);
+  CHECK_TRUE(third.firstAt == first);
+  CHECK_FALSE(third.answered);
+}
+
+TEST(FlowProgress, PartsOfOneRequestAreNoCopies) {
+  for (uint32_t part = 0; part < 5; ++part) {
+    LONGS_EQUAL(1, note(10 + part * 100, 1).copies);
+  }
+  now += milliseconds(200);
+  LONGS_EQUAL(2, note(10, 1).copies);
+  LONGS_EQUAL(1, note(110, 1).copies);
+}
+
+TEST(FlowProgress, TheNextRequestBeginsAnew) {
+  note(10, 1);
+  now += milliseconds(500);
+  LONGS_EQUAL(1, note(110, 1).copies);
+  now += milliseconds(200);
+  LONGS_EQUAL(2, note(110, 1).copies);
+}
+
+TEST(FlowProgress, ACallerThatAcknowledgesMoreHadAnAnswer) {
+  note(10, 1);
+  CHECK_TRUE(note(10, 700, 0).answered);
+  CHECK_FALSE(note(10, 700, 0).answered);
+  // Also where the numbers wrap around.
+  note(10, 0xFFFFFFF0U);
+  FlowProgress other;
+  other.note(now, packet(10, 0xFFFFFFF0U, 100));
+  CHECK_TRUE(other.note(now, packet(10, 16, 0)).answered);
+}
+
+TEST(FlowProgress, ANodeThatIsBehindCountsNoCopies) {
+  progress.note(now, packet(10, 1, 100));
+  now += milliseconds(200);
+  LONGS_EQUAL(1, progress.note(now, packet(10, 1, 100)).copies);
+  now += milliseconds(400);
+  LONGS_EQUAL(1, progress.note(now, packet(10, 1, 100)).copies);
+  progress.onCaughtUp();
+  now += milliseconds(800);
+  LONGS_EQUAL(2, progress.note(now, packet(10, 1, 100)).copies);
+}
+
+TEST(FlowProgress, AnotherHostOfTheFlowBeginsAnew) {
+  note(10, 1);
+  now += milliseconds(200);
+  FlowPacket moved = packet(10, 1, 100);
+  moved.token = kToken + 1;
+  LONGS_EQUAL(1, progress.note(now, moved).copies);
+}
+
+}  // namespace umberhold
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/flow/token_director_test.cc
@@ -60,6 +60,37 @@
   FlowDecision open(uint64_t flow) {
     return director.decide(now, packet(PacketPhase::kOpening, flow, 0), "");
   }
+  /** A packet with data, as the caller sends it first or again. */
+  FlowDecision data(uint64_t flow, uint32_t token, uint32_t sequence) {
+    FlowPacket made = packet(PacketPhase::kContinuing, flow, token);
+    made.sequence = sequence;
+    made.dataBytes = 100;
+    const FlowDecision decision = director.decide(now, made, "");
+    director.onCaughtUp();
+    return decision;
+  }
+  void acknowledge(uint64_t flow, uint32_t token, uint32_t acknowledged) {
+    FlowPacket made = packet(PacketPhase::kContinuing, flow, token);
+    made.acknowledged = acknowledged;
+    director.decide(now, made, "");
+    director.onCaughtUp();
+  }
+  /** Sends the data and its copies as a caller does. @return what became of the last. */
+  FlowDecision sendCopies(uint64_t flow, uint32_t token, uint32_t copies) {
+    milliseconds wait(200);
+    FlowDecision last = data(flow, token, 7);
+    for (uint32_t copy = 1; copy < copies; ++copy) {
+      now += wait;
+      wait *= 2;
+      last = data(flow, token, 7);
+    }
+    return last;
+  }
+  void serveRepeatable() {
+    Service service = makePickup({{"dispatch", 1}});
+    service.repeatable = true;
+    director.setService(service);
+  }
   FlowDecision next(uint64_t flow, uint32_t token) {
     return director.decide(now, packet(PacketPhase::kContinuing, flow, token), "");
   }
@@ -255,4 +286,50 @@
   CHECK_FALSE(director.find(kAddress, kPort, TransportProtocol::kTcp).has_value());
 }
 
+TEST(TokenDirector, RefusesAFlowWhoseHostAcknowledgesNothing) {
+  serveRepeatable();
+  const auto opened = open(1);
+  const uint32_t token = std::get<ForwardToHost>(opened).token;
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 3)));
+  now += milliseconds(800);
+  const FlowDecision fourth = data(1, token, 7);
+  CHECK_TRUE(std::holds_alternative<RefuseFlow>(fourth));
+  CHECK_TRUE(std::get<RefuseFlow>(fourth).reason == RefusalReason::kHostSilent);
+  // New flows go elsewhere meanwhile.
+  for (uint64_t flow = 10; flow < 20; ++flow) {
+    CHECK_TRUE(hostOf(open(flow)) != hostOf(opened));
+  }
+}
+
+TEST(TokenDirector, CopiesOfOtherFlowsShortenTheWait) {
+  serveRepeatable();
+  director.setPool(now, {"dispatch", {makeHost(1)}});
+  const uint32_t token = std::get<ForwardToHost>(open(1)).token;
+  open(2);
+  data(1, token, 7);
+  data(2, token, 7);
+  now += milliseconds(200);
+  data(1, token, 7);
+  data(2, token, 7);
+  now += milliseconds(400);
+  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(1, token, 7)));
+}
+
+TEST(TokenDirector, AnAnswerOfAnyFlowShowsThatTheHostLives) {
+  serveRepeatable();
+  director.setPool(now, {"dispatch", {makeHost(1)}});
+  const uint32_t token = std::get<ForwardToHost>(open(1)).token;
+  open(2);
+  acknowledge(2, token, 10);
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 3)));
+  acknowledge(2, token, 600);
+  now += milliseconds(800);
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, token, 7)));
+}
+
+TEST(TokenDirector, FlowsWhoseRequestsMayRunOnceOnlyAreLeftToTheirHost) {
+  const uint32_t token = std::get<ForwardToHost>(open(1)).token;
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 6)));
+}
+
 }  // namespace umberhold
--- a/test/common/platform/object_json_test.cc
+++ b/test/common/platform/object_json_test.cc
@@ -61,6 +61,8 @@
                with("\"weight\":50", "\"incarnation\":\"xyz\""));
   checkRefused(ObjectErrorCode::kMissingKey, "groups[0].pool",
                with("\"shards\":5", "\"shards\":5,\"groups\":[{}]"));
+  checkRefused(ObjectErrorCode::kInvalidValue, "requests",
+               with("\"shards\":5", "\"shards\":5,\"requests\":\"often\""));
 }
 
 TEST(ObjectJson, ReadsEveryField) {
@@ -146,6 +148,7 @@
   service.address = 0xC6120001;
   service.port = 443;
   service.groups = {{"dispatch", 90}, {"mapstore", 10}};
+  service.repeatable = true;
   const auto readService = parseService("pickup", formatService(service));
   CHECK_TRUE(isOk(readService));
   CHECK_TRUE(valueOf(readService) == service);
--- a/test/platform/packet/echo_format_test.cc
+++ b/test/platform/packet/echo_format_test.cc
@@ -41,6 +41,17 @@
   CHECK_TRUE(packet.phase == PacketPhase::kOpening);
   LONGS_EQUAL(0, packet.token);
   LONGS_EQUAL(syn.size(), packet.totalLength);
+  LONGS_EQUAL(0x11223344, packet.sequence);
+  LONGS_EQUAL(0, packet.dataBytes);
+}
+
+TEST(EchoFormat, ReadsTheNumbersOfData) {
+  std::string data = syn + "abc";
+  data[30] = 3;
+  data[16] = 9;
+  const auto parsed = format.parse(data);
+  LONGS_EQUAL(3, valueOf(parsed).dataBytes);
+  LONGS_EQUAL(9, valueOf(parsed).acknowledged);
 }
 
 TEST(EchoFormat, TellsThePhasesApart) {
--- a/test/platform/store/object_translation_test.cc
+++ b/test/platform/store/object_translation_test.cc
@@ -51,6 +51,8 @@
   LONGS_EQUAL(8443, split.port);
   LONGS_EQUAL(16, split.idleTimeoutSeconds);
   CHECK_TRUE(split.groups == (std::vector<HostGroup>{{"s-one", 90}, {"s-two", 10}}));
+  CHECK_TRUE(split.repeatable);
+  CHECK_FALSE(services[1].repeatable);
   CHECK_TRUE(services[1].groups == (std::vector<HostGroup>{{"s-two", 1}}));
   LONGS_EQUAL(443, services[1].port);
 }
