Take hosts over soon that register after a start or an outage

Cause: after a loss of power of all, nodes are ready with the few hosts that have registered by then, and a watch that brought changes is followed by 0.3 of the drain bound (0.9 s) of gathering.

Ruled out: a slow start of the process (some 20 ms from "started" to "ready" at 0.18 cores).

Change: CollectionFollower::expectChanges: for 3 s, changes are gathered for 100 ms at most. Tests: CollectionFollower and ObjectStoreAdapter, HostsThatRegisterAfterAStartOrAnOutageAreNotWaitedFor (failed with the call taken out).

Requests of the two seconds without any node stay late.

--- a/source/common/platform/collection_follower.cc
+++ b/source/common/platform/collection_follower.cc
@@ -40,10 +40,14 @@
   succeed();
   watchVersion_ = std::max(watchVersion_, version);
   if (hadEvents) {
-    pausedUntil_ = now + gathering_;
+    pausedUntil_ = now + gatheringAt(now);
   }
 }
 
+Duration CollectionFollower::gatheringAt(TimePoint now) const {
+  return now < expectedUntil_ ? std::min(gathering_, options_.gatherExpectedChanges) : gathering_;
+}
+
 void CollectionFollower::onFailure(TimePoint now, const StoreError& error) {
   if (error.code == StoreErrorCode::kTooOld) {
     startListAnew();
--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -47,6 +47,9 @@
   Duration longestWatch = std::chrono::seconds(30);
   /** Wait after changes, so that those that come in a row cost one call. */
   Duration gatherChanges = std::chrono::milliseconds(250);
+  /** In its place, where it is shorter, for a while after expectChanges(). */
+  Duration gatherExpectedChanges = std::chrono::milliseconds(100);
+  Duration expectedChangesLast = std::chrono::seconds(3);
   BackOffOptions retry{std::chrono::milliseconds(100), std::chrono::milliseconds(800)};
   RetryBudgetOptions retryBudget{10, std::chrono::milliseconds(800)};
 };
@@ -71,6 +74,12 @@
   /** In place of FollowerOptions::gatherChanges from the next changes on. */
   void setGathering(Duration gathering) { gathering_ = gathering; }
 
+  /**
+   * What is followed is not as it will soon be: after a start or an outage, for instance. Changes
+   * are gathered for a shorter time for a while.
+   */
+  void expectChanges(TimePoint now) { expectedUntil_ = now + options_.expectedChangesLast; }
+
   /**
    * The page that next() asked for came.
    * @param version the store's, when the page was read.
@@ -97,6 +106,7 @@
   bool hasListed() const { return hasListed_; }
 
  private:
+  Duration gatheringAt(TimePoint now) const;
   void succeed();
   void startListAnew();
 
@@ -109,6 +119,7 @@
   uint64_t listVersion_ = 0;
   uint64_t watchVersion_ = 0;
   TimePoint pausedUntil_;
+  TimePoint expectedUntil_{};
   bool failing_ = false;
   bool hasListed_ = false;
 };
--- a/test/common/platform/collection_follower_test.cc
+++ b/test/common/platform/collection_follower_test.cc
@@ -50,6 +50,24 @@
   LONGS_EQUAL(46, mustBe<WatchFrom>().version);
 }
 
+TEST(CollectionFollower, GathersExpectedChangesForAShorterTime) {
+  options.gatherChanges = seconds(1);
+  CollectionFollower patient{options, random};
+  patient.onPage(40, "z", false);
+  patient.expectChanges(now);
+  patient.onWatch(now, 44, true);
+  const auto soon = std::get<PauseUntil>(patient.next(now)).at;
+  CHECK_TRUE(soon == now + options.gatherExpectedChanges);
+  now += options.expectedChangesLast;
+  patient.onWatch(now, 45, true);
+  CHECK_TRUE(std::get<PauseUntil>(patient.next(now)).at == now + seconds(1));
+  // A time that is short already stays.
+  patient.setGathering(milliseconds(10));
+  patient.expectChanges(now);
+  patient.onWatch(now, 46, true);
+  CHECK_TRUE(std::get<PauseUntil>(patient.next(now)).at == now + milliseconds(10));
+}
+
 TEST(CollectionFollower, ListsACurrentStateAfterTheHistoryIsLost) {
   listWhole(40);
   fail(StoreErrorCode::kTooOld);
--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -46,6 +46,7 @@
   /** No probe disturbs the counts of a test that isn't about them. */
   Duration livenessInterval = std::chrono::hours(1);
   Duration longestWatch = seconds(2);
+  Duration gatherChanges = milliseconds(5);
   std::vector<Endpoint> peers;
   std::map<std::string, HostPool> pools;
   std::map<std::string, Service> services;
@@ -56,7 +57,7 @@
     made.address = store->address();
     made.region = "addis";
     made.follower.longestWatch = longestWatch;
-    made.follower.gatherChanges = milliseconds(5);
+    made.follower.gatherChanges = gatherChanges;
     made.follower.retry = {milliseconds(10), milliseconds(50)};
     made.follower.retryBudget = {10, milliseconds(50)};
     made.limits.connect = milliseconds(500);
@@ -160,6 +161,23 @@
   LONGS_EQUAL(2, store->calls().connections);
 }
 
+TEST(ObjectStoreAdapter, HostsThatRegisterAfterAStartOrAnOutageAreNotWaitedFor) {
+  gatherChanges = seconds(60);
+  setUp(4);
+  start();
+  setHost(5);
+  CHECK_TRUE(followToActive(5));
+  setHost(6);
+  CHECK_TRUE(followToActive(6));
+  setMood(test::StoreMood::kReset);
+  CHECK_TRUE(follow([this] { return adapter->status().failing; }));
+  setMood(test::StoreMood::kAnswering);
+  setHost(7);
+  CHECK_TRUE(followToActive(7));
+  setHost(8);
+  CHECK_TRUE(followToActive(8));
+}
+
 TEST(ObjectStoreAdapter, WakesAWaitingWatchForAConfigurationAlone) {
   setUp(1);
   start();
