Soak real edge nodes under random faults and check the promises from outside

Change: ./dev soak: ten real nodes in three zones; the store's stand-in behind a front for each node, routers, hosts and callers in one process on loopback addresses (decision 0019). 20 kinds of faults from a seed, several at once; eleven promises; a sabotage for each of the nine that the world judges. ctest: the seeds of test/soak/seeds, and for each sabotage that its promise is found broken. Unit tests: the soak's packets against the product's reader, streams under loss (property), callers with hosts, probes, evidence.

Ruled out: more stand-ins of their own process: violations would be known at the end only.

--- a/bench/support/process_group.cc
+++ b/bench/support/process_group.cc
@@ -8,8 +8,10 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <system_error>
 #include <thread>
 
 namespace umberhold::experiment {
@@ -59,6 +61,17 @@
   return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+uint64_t descriptorsOf(int process) {
+  std::error_code failure;
+  uint64_t count = 0;
+  std::filesystem::directory_iterator entry("/proc/" + std::to_string(process) + "/fd", failure);
+  while (!failure && entry != std::filesystem::directory_iterator()) {
+    ++count;
+    entry.increment(failure);
+  }
+  return count;
+}
+
 }  // namespace
 
 struct ProcessGroup::Entry {
@@ -141,9 +154,9 @@
     return std::nullopt;
   }
   const int process = found->second->handle.id();
-  return ProcessUsage{statusMegabytes(process, "VmHWM"), cpuSeconds(process),
-                      statusMegabytes(process, "VmRSS"), statusMegabytes(process, "RssAnon"),
-                      statusMegabytes(process, "RssFile")};
+  return ProcessUsage{statusMegabytes(process, "VmHWM"),   cpuSeconds(process),
+                      statusMegabytes(process, "VmRSS"),   statusMegabytes(process, "RssAnon"),
+                      statusMegabytes(process, "RssFile"), descriptorsOf(process)};
 }
 
 }  // namespace umberhold::experiment
--- a/bench/support/process_group.h
+++ b/bench/support/process_group.h
@@ -2,6 +2,7 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,6 +20,7 @@
   double residentMegabytes = 0;
   double anonymousMegabytes = 0;
   double fileMegabytes = 0;
+  uint64_t descriptors = 0;
 };
 
 /** Starts and ends processes. All that still run end with the group. */
--- a/source/common/flow/flow_progress.cc
+++ b/source/common/flow/flow_progress.cc
@@ -18,8 +18,8 @@
 
 PacketProgress FlowProgress::begin(TimePoint now, const FlowPacket& packet, Entry& entry) const {
   const uint32_t copies = packet.dataBytes > 0 ? 1 : 0;
-  entry = {packet.hash, packet.token, packet.sequence, packet.acknowledged, copies, now,
-           now,         caughtUp_};
+  entry = {packet.hash, packet.token, packet.sequence, packet.acknowledged, copies,
+           now,         now,          caughtUp_};
   return {copies, now, false};
 }
 
@@ -36,7 +36,8 @@
   if (packet.dataBytes == 0) {
     return {0, entry.firstAt, false};
   }
-  if (entry.copies == 0 || (packet.sequence != entry.sequence && now - entry.lastAt >= kShortestRepeat)) {
+  if (entry.copies == 0 ||
+      (packet.sequence != entry.sequence && now - entry.lastAt >= kShortestRepeat)) {
     return begin(now, packet, entry);
   }
   if (packet.sequence != entry.sequence) {
--- /dev/null
+++ b/test/soak/soak_main.cc
@@ -0,0 +1,83 @@
+/** @file soak: real nodes under random faults, with the promises checked from outside. */
+#include <Poco/Exception.h>
+#include <Poco/TemporaryFile.h>
+#include <tclap/CmdLine.h>
+
+#include <filesystem>
+#include <iostream>
+
+#include "bench/support/address_block.h"
+#include "test/soak/world/soak_run.h"
+
+namespace {
+
+using namespace umberhold;
+using namespace umberhold::soak;
+
+constexpr int kKept = 0;
+constexpr int kBroken = 1;
+constexpr int kUsage = 2;
+constexpr int kNotRun = 3;
+
+std::string sabotageList() {
+  std::string list;
+  for (uint8_t index = 0; index < static_cast<uint8_t>(Sabotage::kCount); ++index) {
+    list += (list.empty() ? "" : ", ") + std::string(toString(static_cast<Sabotage>(index)));
+  }
+  return list;
+}
+
+int run(const SoakOptions& options) {
+  std::cout << "logs and settings: " << options.folder << std::endl;
+  const auto result = runSoak(options);
+  if (!isOk(result)) {
+    std::cerr << "soak not run: " << toString(errorOf(result)) << "\n";
+    return kNotRun;
+  }
+  std::cout << toText(options, valueOf(result)) << toJsonLine(options, valueOf(result))
+            << std::endl;
+  writePlotData(options.folder, valueOf(result));
+  return valueOf(result).keptAll() ? kKept : kBroken;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Plays random faults on real nodes and checks the promises from outside.",
+                         ' ', "0.1");
+  TCLAP::ValueArg<uint32_t> seconds("", "seconds", "length; 20 s of it are calm", false, 60, "s",
+                                    command);
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "decides faults and traffic", false, 1, "number",
+                                 command);
+  TCLAP::ValueArg<std::string> keep("", "keep", "folder for logs and settings", false, "", "path",
+                                    command);
+  TCLAP::ValueArg<std::string> sabotage("", "sabotage", "breaks a promise: " + sabotageList(),
+                                        false, "none", "name", command);
+  command.parse(argc, argv);
+
+  const auto kind = sabotageNamed(sabotage.getValue());
+  if (!kind) {
+    std::cerr << "no such sabotage: " << sabotage.getValue() << "; " << sabotageList() << "\n";
+    return kUsage;
+  }
+  const auto block = experiment::AddressBlock::claim();
+  if (!block) {
+    std::cerr << "soak not run: no free loopback addresses\n";
+    return kNotRun;
+  }
+  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
+  SoakOptions options;
+  options.seed = seed.getValue();
+  options.seconds = seconds.getValue();
+  options.sabotage = *kind;
+  options.block = block->number();
+  options.program = (self.parent_path() / ".." / ".." / "platform" / "umberhold_edge").string();
+  options.folder = keep.getValue().empty() ? Poco::TemporaryFile::tempName() : keep.getValue();
+  std::filesystem::create_directories(options.folder);
+  try {
+    return run(options);
+  } catch (const Poco::Exception& failure) {
+    std::cerr << "soak not run: " << failure.displayText() << "\n";
+    return kNotRun;
+  }
+}
--- /dev/null
+++ b/test/soak/unit/caller_and_host_test.cc
@@ -0,0 +1,149 @@
+/** @file A caller and hosts with no system between them but one that loses packets. */
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "test/soak/world/soak_caller.h"
+#include "test/soak/world/soak_host.h"
+#include "test/support/without_leak_detection.h"
+
+namespace umberhold::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kCaller = 0x64400007;
+constexpr Endpoint kNode{0x7F010101, 8172};
+const std::string kAnyHost(8, '\0');
+
+CallerHabit habit(bool repeatable) {
+  CallerHabit made;
+  made.service = {0xC6120001, 8443};
+  made.repeatable = repeatable;
+  return made;
+}
+
+}  // namespace
+
+TEST_GROUP_BASE(CallerAndHost, test::WithoutLeakDetection) {
+  RandomSource random{7};
+  TimePoint now{seconds(100)};
+  double lost = 0.0;
+  std::unique_ptr<SoakHost> host;
+  std::unique_ptr<SoakCaller> caller;
+  std::deque<std::string> toHost;
+  std::deque<std::string> toCaller;
+  std::map<uint64_t, int> runs;
+  int wrong = 0;
+  int forged = 0;
+  int resets = 0;
+
+  void start(bool repeatable) {
+    HostHooks hooks;
+    hooks.send = [this](const Endpoint&, const std::string& packet) {
+      if (random.unit() >= lost) {
+        toCaller.push_back(packet);
+      }
+    };
+    hooks.opening = [](const FlowName&, const Endpoint&) {};
+    hooks.run = [this](const FlowName&, const Request& request) { ++runs[request.id]; };
+    hooks.forged = [this](const EchoPacket&) { ++forged; };
+    HostPlan plan;
+    plan.id = "i-1";
+    plan.incarnation = 1;
+    plan.service = "dispatch";
+    host = std::make_unique<SoakHost>(plan, hooks, random);
+    CallerHooks callerHooks;
+    callerHooks.send = [this](const std::string& packet) {
+      if (random.unit() >= lost) {
+        toHost.push_back(kAnyHost + packet);
+      }
+    };
+    callerHooks.openFlowReset = [this](const FlowName&) { ++resets; };
+    callerHooks.wrongAnswer = [this](const std::string&) { ++wrong; };
+    callerHooks.ended = [](TimePoint, bool) {};
+    caller = std::make_unique<SoakCaller>(kCaller, 1, habit(repeatable), callerHooks, random);
+  }
+  void play(Duration length) {
+    for (const TimePoint end = now + length; now < end; now += milliseconds(2)) {
+      while (!toHost.empty()) {
+        host->onDatagram(now, kNode, toHost.front());
+        toHost.pop_front();
+      }
+      while (!toCaller.empty()) {
+        caller->onDatagram(now, toCaller.front());
+        toCaller.pop_front();
+      }
+      host->tick(now);
+      caller->tick(now);
+    }
+  }
+};
+
+TEST(CallerAndHost, EveryRequestIsServedWithoutLoss) {
+  start(true);
+  play(seconds(10));
+  CHECK_TRUE(caller->counts().asked > 20);
+  LONGS_EQUAL(0, caller->counts().failed);
+  CHECK_TRUE(caller->counts().served + 1 >= caller->counts().asked);
+  LONGS_EQUAL(0, wrong + forged + resets);
+}
+
+TEST(CallerAndHost, LossDelaysRequestsAndRunsNoneTwice) {
+  lost = 0.05;
+  start(false);
+  play(seconds(60));
+  CHECK_TRUE(caller->counts().served > 50);
+  for (const auto& [request, count] : runs) {
+    LONGS_EQUAL(1, count);
+  }
+  LONGS_EQUAL(0, wrong + forged);
+}
+
+TEST(CallerAndHost, ADrainingHostClosesItsFlowsAndTakesOpenings) {
+  start(true);
+  play(seconds(2));
+  host->drain();
+  play(seconds(3));
+  LONGS_EQUAL(0, caller->counts().failed);
+  CHECK_TRUE(caller->counts().served > 8);
+}
+
+TEST(CallerAndHost, AnEndedHostSaysNothing) {
+  start(true);
+  play(seconds(1));
+  host->end();
+  play(seconds(8));
+  CHECK_TRUE(caller->counts().failed > 0);
+  LONGS_EQUAL(0, host->flowCount());
+}
+
+TEST(CallerAndHost, WhatNobodyWroteSoIsNoticed) {
+  start(true);
+  EchoPacket packet;
+  packet.sum = 1;
+  caller->onDatagram(now, encode(packet));
+  LONGS_EQUAL(1, wrong);
+  host->onDatagram(now, kNode, kAnyHost + encode(packet));
+  LONGS_EQUAL(1, forged);
+}
+
+TEST(CallerAndHost, AnAnswerWithAnotherBodyIsNoticed) {
+  start(true);
+  for (int step = 0; wrong == 0 && step < 1000; ++step) {
+    play(milliseconds(2));
+    for (std::string& bytes : toCaller) {
+      EchoPacket packet = *decode(bytes);
+      if (!packet.data.empty()) {
+        packet.data.back() = '#';
+        bytes = encodeSealed(packet);
+      }
+    }
+  }
+  CHECK_TRUE(wrong > 0);
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/unit/evidence_test.cc
@@ -0,0 +1,108 @@
+/** @file What is judged from records: runs, logs, use of the machine, faults drawn. */
+#include <sstream>
+
+#include "test/soak/world/contact_record.h"
+#include "test/soak/world/fault_plan.h"
+#include "test/soak/world/node_evidence.h"
+#include "test/soak/world/promises.h"
+#include "test/soak/world/sabotage.h"
+#include "test/support/without_leak_detection.h"
+
+namespace umberhold::soak {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{seconds(100)};
+const std::string kLine = "ts=2026-01-01T00:00:00Z level=info event=started node=a\n";
+
+}  // namespace
+
+TEST_GROUP_BASE(Evidence, test::WithoutLeakDetection){};
+
+TEST(Evidence, ARequestThatMayRunOnceIsCountedOverAllHosts) {
+  PromiseBook promises(kNow);
+  RunBook runs(promises);
+  runs.onRun(kNow, 7, false, true, "i-1");
+  runs.onRun(kNow, 8, true, true, "i-1");
+  runs.onRun(kNow, 8, true, true, "i-2");
+  LONGS_EQUAL(0, promises.total());
+  runs.onRun(kNow, 7, false, true, "i-2");
+  LONGS_EQUAL(1, promises.count(Promise::kUnsafeOnce));
+  runs.onRun(kNow, 9, true, false, "i-2");
+  LONGS_EQUAL(1, promises.count(Promise::kRightService));
+  LONGS_EQUAL(3 + 2, runs.runs());
+}
+
+TEST(Evidence, OnlyTheFirstViolationsOfEachPromiseAreKept) {
+  PromiseBook promises(kNow);
+  for (int count = 0; count < 100; ++count) {
+    promises.broken(kNow, Promise::kRecovery, "x");
+  }
+  LONGS_EQUAL(100, promises.count(Promise::kRecovery));
+  CHECK_TRUE(promises.first().size() < 10);
+}
+
+TEST(Evidence, ALogIsReadLineByLine) {
+  std::istringstream log(kLine + "half a li\n" + kLine);
+  const LogSummary summary = summarizeLog(log);
+  LONGS_EQUAL(3, summary.lines);
+  LONGS_EQUAL(1, summary.unreadable);
+  LONGS_EQUAL(2, summary.starts);
+  STRCMP_EQUAL("half a li", summary.firstUnreadable.c_str());
+}
+
+TEST(Evidence, ALogMustBeReadableAndBounded) {
+  const NodeLimits limits;
+  CHECK_TRUE(isReadable(limits, {100, 1, 2, ""}, 2, 10));
+  CHECK_FALSE(isReadable(limits, {100, 3, 2, ""}, 2, 10));
+  CHECK_FALSE(isReadable(limits, {100, 0, 0, ""}, 2, 10));
+  CHECK_FALSE(isReadable(limits, {100000, 0, 1, ""}, 1, 10));
+}
+
+TEST(Evidence, ANodeMustBeMeasuredAndKeepItsLimits) {
+  const NodeLimits limits;
+  CHECK_TRUE(isWithin(limits, {10, 20, 1}));
+  CHECK_FALSE(isWithin(limits, {0, 20, 1}));
+  CHECK_FALSE(isWithin(limits, {10, 0, 1}));
+  CHECK_FALSE(isWithin(limits, {limits.memoryMegabytes + 1, 20, 1}));
+  CHECK_FALSE(isWithin(limits, {10, limits.descriptors + 1, 1}));
+}
+
+TEST(Evidence, TroubleCountsUntilSomeTimeAfterItsEnd) {
+  ContactRecord contact{seconds(4)};
+  CHECK_TRUE(contact.isInTouch("node", kNow));
+  contact.begin("node", kNow);
+  contact.begin("node", kNow);
+  contact.end("node", kNow + seconds(1));
+  CHECK_FALSE(contact.isInTouch("node", kNow + seconds(60)));
+  contact.end("node", kNow + seconds(61));
+  CHECK_FALSE(contact.isInTouch("node", kNow + seconds(65)));
+  CHECK_TRUE(contact.isInTouch("node", kNow + seconds(66)));
+  CHECK_TRUE(contact.isInTouch("other", kNow + seconds(60)));
+}
+
+TEST(Evidence, FaultsDependOnTheSeedAlone) {
+  const auto first = drawFaults(5, seconds(40));
+  const auto again = drawFaults(5, seconds(40));
+  const auto other = drawFaults(6, seconds(40));
+  CHECK_TRUE(first.size() > 8);
+  LONGS_EQUAL(first.size(), again.size());
+  bool same = first.size() == other.size();
+  for (size_t index = 0; index < first.size(); ++index) {
+    CHECK_TRUE(first[index].kind == again[index].kind && first[index].at == again[index].at);
+    CHECK_TRUE(first[index].at < seconds(40));
+    same = same && first[index].kind == other[index].kind;
+  }
+  CHECK_FALSE(same);
+}
+
+TEST(Evidence, EverySabotageHasANameOfItsOwn) {
+  for (uint8_t index = 0; index < static_cast<uint8_t>(Sabotage::kCount); ++index) {
+    const auto kind = static_cast<Sabotage>(index);
+    CHECK_TRUE(sabotageNamed(toString(kind)) == kind);
+  }
+  CHECK_FALSE(sabotageNamed("x").has_value());
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/deployment_plan.h
@@ -0,0 +1,65 @@
+/** @file The nodes of a soak and the loopback addresses that its parts have. */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/base/endpoint.h"
+#include "common/base/time.h"
+
+namespace umberhold::soak {
+
+/** One node. */
+struct NodePlan {
+  std::string name;
+  std::string zone;
+  Endpoint data;
+  Endpoint readiness;
+  Endpoint metrics;
+  Endpoint peer;
+  /** Where this node finds the store; a cut of the node lies behind it. */
+  Endpoint store;
+};
+
+/** Bounds of the deployment, as in the users' sites. */
+struct BoundPlan {
+  Duration change = std::chrono::seconds(3);
+  Duration drain = std::chrono::seconds(3);
+  Duration contact = std::chrono::seconds(4);
+  /** After a node told of a version, older ones may still be seen for so long. */
+  Duration back = std::chrono::milliseconds(250);
+  Duration recovery = std::chrono::seconds(12);
+  Duration reuse = std::chrono::seconds(2);
+  Duration heartbeat = std::chrono::milliseconds(1200);
+};
+
+/** Addresses are 127.BLOCK.GROUP.NUMBER. */
+class DeploymentPlan {
+ public:
+  /** A zone of six nodes, which read the store through one of them, and two small zones. */
+  explicit DeploymentPlan(uint8_t block);
+
+  const std::vector<NodePlan>& nodes() const { return nodes_; }
+  const std::vector<std::string>& zones() const { return zones_; }
+  const BoundPlan& bounds() const { return bounds_; }
+  Endpoint hostAddress(uint32_t number) const;
+  uint32_t callerAddress(uint32_t number) const;
+  /** Where probes of the configuration get their answers. */
+  uint32_t probeAddress() const;
+  /** Callers take packets at their own address and this port. */
+  static constexpr uint16_t kDataPort = 8172;
+
+ private:
+  uint32_t address(uint32_t group, uint32_t number) const;
+
+  uint8_t block_;
+  std::vector<std::string> zones_ = {"bole", "piassa", "merkato"};
+  std::vector<NodePlan> nodes_;
+  BoundPlan bounds_;
+};
+
+/** @return the settings file of a node. */
+std::string settingsText(const DeploymentPlan& plan, const NodePlan& node, bool firstStart);
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/fault_plan.cc
@@ -0,0 +1,86 @@
+#include "test/soak/world/fault_plan.h"
+
+#include <algorithm>
+
+#include "common/base/random.h"
+
+namespace umberhold::soak {
+namespace {
+
+/** Mean time between two faults. */
+constexpr double kMeanGapSeconds = 2.0;
+constexpr double kShortestSeconds = 1.0;
+constexpr double kLongestSeconds = 5.0;
+
+Duration secondsOf(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+std::string_view toString(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kKillNode:
+      return "kill_node";
+    case FaultKind::kKillHalf:
+      return "kill_half";
+    case FaultKind::kKillAll:
+      return "kill_all";
+    case FaultKind::kFreezeNode:
+      return "freeze_node";
+    case FaultKind::kRestartNode:
+      return "restart_node";
+    case FaultKind::kRollingRestart:
+      return "rolling_restart";
+    case FaultKind::kStoreBusy:
+      return "store_busy";
+    case FaultKind::kStoreSilent:
+      return "store_silent";
+    case FaultKind::kStoreResets:
+      return "store_resets";
+    case FaultKind::kStoreSlow:
+      return "store_slow";
+    case FaultKind::kStoreForgetsHistory:
+      return "store_forgets_history";
+    case FaultKind::kCutFromStore:
+      return "cut_from_store";
+    case FaultKind::kLossyFabric:
+      return "lossy_fabric";
+    case FaultKind::kDrainHosts:
+      return "drain_hosts";
+    case FaultKind::kCrashHost:
+      return "crash_host";
+    case FaultKind::kReuseAddress:
+      return "reuse_address";
+    case FaultKind::kConfigurationStorm:
+      return "configuration_storm";
+    case FaultKind::kBigConfiguration:
+      return "big_configuration";
+    case FaultKind::kReloadSettings:
+      return "reload_settings";
+    case FaultKind::kReloadBadSettings:
+      return "reload_bad_settings";
+    case FaultKind::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+std::vector<Fault> drawFaults(uint64_t seed, Duration length) {
+  RandomSource random(seed);
+  std::vector<Fault> faults;
+  Duration at = secondsOf(kShortestSeconds);
+  while (at < length) {
+    Fault fault;
+    fault.kind = static_cast<FaultKind>(random.below(static_cast<uint64_t>(FaultKind::kCount)));
+    fault.at = at;
+    fault.lasts =
+        secondsOf(kShortestSeconds + random.unit() * (kLongestSeconds - kShortestSeconds));
+    fault.choice = random.below(UINT32_MAX);
+    faults.push_back(fault);
+    at += secondsOf(2 * kMeanGapSeconds * random.unit());
+  }
+  return faults;
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/node_evidence.cc
@@ -0,0 +1,34 @@
+#include "test/soak/world/node_evidence.h"
+
+namespace umberhold::soak {
+
+bool isLogLine(const std::string& line) {
+  return line.rfind("ts=", 0) == 0 && line.find(" level=") != std::string::npos &&
+         line.find(" event=") != std::string::npos;
+}
+
+bool isWithin(const NodeLimits& limits, const NodePeak& peak) {
+  return peak.memoryMegabytes > 0 && peak.memoryMegabytes <= limits.memoryMegabytes &&
+         peak.descriptors > 0 && peak.descriptors <= limits.descriptors;
+}
+
+bool isReadable(const NodeLimits& limits, const LogSummary& log, uint64_t lives, double seconds) {
+  return log.starts > 0 && log.unreadable <= lives &&
+         static_cast<double>(log.lines) <= limits.linesPerSecond * seconds;
+}
+
+LogSummary summarizeLog(std::istream& log) {
+  LogSummary summary;
+  std::string line;
+  while (std::getline(log, line)) {
+    ++summary.lines;
+    summary.starts += line.find(" event=started ") != std::string::npos ? 1 : 0;
+    const bool readable = isLogLine(line);
+    if (!readable && summary.unreadable++ == 0) {
+      summary.firstUnreadable = line;
+    }
+  }
+  return summary;
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/promises.cc
@@ -0,0 +1,65 @@
+#include "test/soak/world/promises.h"
+
+#include <numeric>
+
+namespace umberhold::soak {
+namespace {
+
+/** Of each promise; a run that goes wrong would fill the memory otherwise. */
+constexpr uint64_t kKeptViolations = 5;
+
+}  // namespace
+
+std::string_view toString(Promise promise) {
+  switch (promise) {
+    case Promise::kWholeAnswers:
+      return "whole_answers";
+    case Promise::kRightService:
+      return "right_service";
+    case Promise::kUnsafeOnce:
+      return "unsafe_once";
+    case Promise::kPacketsUnchanged:
+      return "packets_unchanged";
+    case Promise::kNoFlowsOnLeavingHosts:
+      return "no_flows_on_leaving_hosts";
+    case Promise::kConfigurationInTime:
+      return "configuration_in_time";
+    case Promise::kNoOlderConfiguration:
+      return "no_older_configuration";
+    case Promise::kOpenFlowsStay:
+      return "open_flows_stay";
+    case Promise::kRecovery:
+      return "recovery";
+    case Promise::kBoundedNodes:
+      return "bounded_nodes";
+    case Promise::kReadableLogs:
+      return "readable_logs";
+    case Promise::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+void PromiseBook::broken(TimePoint now, Promise promise, const std::string& detail) {
+  if (++counts_[static_cast<size_t>(promise)] <= kKeptViolations) {
+    first_.push_back({promise, now - start_, detail});
+  }
+}
+
+uint64_t PromiseBook::total() const {
+  return std::accumulate(counts_.begin(), counts_.end(), uint64_t{0});
+}
+
+void RunBook::onRun(TimePoint now, uint64_t request, bool repeatable, bool allowed,
+                    const std::string& host) {
+  ++runs_;
+  const std::string detail = "request " + std::to_string(request) + " at " + host;
+  if (!allowed) {
+    promises_.broken(now, Promise::kRightService, detail);
+  }
+  if (!repeatable && ++unrepeatable_[request] > 1) {
+    promises_.broken(now, Promise::kUnsafeOnce, detail);
+  }
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/soak_host.cc
@@ -0,0 +1,170 @@
+#include "test/soak/world/soak_host.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace umberhold::soak {
+namespace {
+
+constexpr size_t kIncarnationBytes = 8;
+constexpr unsigned kByteBits = 8;
+/** A host gives a flow up after so many tries. */
+constexpr uint32_t kMostTries = 9;
+/** An opening whose caller took another host's answer, or none, is forgotten. */
+constexpr Duration kOpeningPatience = std::chrono::seconds(3);
+
+uint64_t incarnationOf(std::string_view bytes) {
+  uint64_t incarnation = 0;
+  for (size_t index = 0; index < kIncarnationBytes; ++index) {
+    incarnation = (incarnation << kByteBits) | static_cast<uint8_t>(bytes[index]);
+  }
+  return incarnation;
+}
+
+/** The host's end of a flow. */
+StreamAddresses addressesOf(const FlowName& flow) {
+  return {flow.service.address, flow.caller.address, flow.service.port, flow.caller.port};
+}
+
+EchoPacket packetOn(const FlowName& flow, uint8_t flags) {
+  const StreamAddresses addresses = addressesOf(flow);
+  EchoPacket packet;
+  packet.flags = flags;
+  packet.source = addresses.source;
+  packet.target = addresses.target;
+  packet.sourcePort = addresses.sourcePort;
+  packet.targetPort = addresses.targetPort;
+  return packet;
+}
+
+}  // namespace
+
+FlowName flowOfCaller(const EchoPacket& packet) {
+  return {{packet.source, packet.sourcePort}, {packet.target, packet.targetPort}};
+}
+
+SoakHost::SoakHost(HostPlan plan, HostHooks hooks, RandomSource& random)
+    : plan_(std::move(plan)), hooks_(std::move(hooks)), random_(random) {}
+
+void SoakHost::onDatagram(TimePoint now, const Endpoint& node, std::string_view bytes) {
+  if (mood_ == HostMood::kEnded || bytes.size() < kIncarnationBytes) {
+    return;
+  }
+  const uint64_t meant = incarnationOf(bytes);
+  const auto packet = decode(bytes.substr(kIncarnationBytes));
+  if (meant != 0 && meant != plan_.incarnation) {
+    return;
+  }
+  if (!packet || !isSealed(*packet)) {
+    hooks_.forged(packet.value_or(EchoPacket{}));
+    return;
+  }
+  if (packet->has(kSyn)) {
+    onOpening(now, *packet, node);
+    return;
+  }
+  const FlowName name = flowOfCaller(*packet);
+  const auto found = flows_.find(name);
+  if (found == flows_.end()) {
+    if (!packet->has(kRst)) {
+      sendReset(*packet);
+    }
+    return;
+  }
+  if (packet->has(kRst)) {
+    flows_.erase(found);
+    return;
+  }
+  onLater(now, *packet, name, found->second);
+}
+
+void SoakHost::onOpening(TimePoint now, const EchoPacket& packet, const Endpoint& node) {
+  const FlowName name = flowOfCaller(packet);
+  hooks_.opening(name, node);
+  auto found = flows_.find(name);
+  if (found == flows_.end()) {
+    const auto first = static_cast<uint32_t>(random_.below(UINT32_MAX));
+    Flow flow{StreamEnd(addressesOf(name), first + 1, packet.sequence + 1), first, now, false, false,
+              {},   {}};
+    found = flows_.emplace(name, std::move(flow)).first;
+  }
+  EchoPacket answer = packetOn(name, kSyn | kAck);
+  answer.echo = packet.echo;
+  answer.sequence = found->second.firstSequence;
+  answer.acknowledged = packet.sequence + 1;
+  hooks_.send(name.caller, encodeSealed(answer));
+}
+
+void SoakHost::onLater(TimePoint now, const EchoPacket& packet, const FlowName& name, Flow& flow) {
+  if (!flow.open && packet.acknowledged != flow.firstSequence + 1) {
+    return;  // The caller took another host's answer.
+  }
+  flow.open = true;
+  std::vector<std::string> out;
+  flow.text += flow.stream.onPacket(now, packet, out);
+  takeRequests(now, name, flow);
+  if (flow.stream.isFinishedByOther() && !flow.closing) {
+    flow.closing = true;
+    flow.stream.finish();
+    flow.stream.tick(now, out);
+  }
+  sendAll(name, out);
+}
+
+void SoakHost::takeRequests(TimePoint now, const FlowName& name, Flow& flow) {
+  while (const auto request = takeRequest(flow.text)) {
+    hooks_.run(name, *request);
+    flow.jobs.push_back({*request, now + plan_.work});
+  }
+}
+
+void SoakHost::answerDone(TimePoint now, Flow& flow) {
+  while (!flow.jobs.empty() && flow.jobs.front().doneAt <= now) {
+    flow.stream.write(answerText(flow.jobs.front().request, plan_.service));
+    flow.jobs.erase(flow.jobs.begin());
+    if (mood_ == HostMood::kDraining && flow.jobs.empty() && !flow.closing) {
+      flow.closing = true;
+      flow.stream.finish();
+    }
+  }
+}
+
+void SoakHost::tick(TimePoint now) {
+  for (auto place = flows_.begin(); place != flows_.end();) {
+    Flow& flow = place->second;
+    answerDone(now, flow);
+    std::vector<std::string> out;
+    flow.stream.tick(now, out);
+    sendAll(place->first, out);
+    const bool closed = flow.closing && flow.stream.isDrained() && flow.stream.isFinishedByOther();
+    const bool lost = flow.stream.tries() >= kMostTries;
+    const bool unopened = !flow.open && now - flow.begunAt > kOpeningPatience;
+    place = closed || lost || unopened ? flows_.erase(place) : std::next(place);
+  }
+}
+
+void SoakHost::end() {
+  mood_ = HostMood::kEnded;
+  flows_.clear();
+}
+
+bool SoakHost::holds(const FlowName& flow) const {
+  const auto found = flows_.find(flow);
+  return found != flows_.end() && found->second.open;
+}
+
+void SoakHost::sendReset(const EchoPacket& packet) {
+  const FlowName name = flowOfCaller(packet);
+  EchoPacket reset = packetOn(name, kRst);
+  reset.echo = packet.echo;
+  reset.sequence = packet.acknowledged;
+  hooks_.send(name.caller, encodeSealed(reset));
+}
+
+void SoakHost::sendAll(const FlowName& name, const std::vector<std::string>& packets) {
+  for (const std::string& packet : packets) {
+    hooks_.send(name.caller, packet);
+  }
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/soak_run.cc
@@ -0,0 +1,185 @@
+#include "test/soak/world/soak_run.h"
+
+#include <algorithm>
+#include <fstream>
+#include <optional>
+#include <thread>
+
+#include "common/platform/steady_now.h"
+#include "test/soak/world/fault_player.h"
+
+namespace umberhold::soak {
+namespace {
+
+constexpr auto kStep = std::chrono::milliseconds(10);
+constexpr Duration kStartPatience = std::chrono::seconds(30);
+constexpr Duration kMeasureInterval = std::chrono::seconds(1);
+/** At the end, for requests that began before. */
+constexpr Duration kWindDown = std::chrono::seconds(3);
+/** Requests that are judged after the recovery time. */
+constexpr Duration kJudgedTime = std::chrono::seconds(4);
+constexpr double kServedAfterRecovery = 0.97;
+constexpr uint64_t kFewestRequests = 200;
+
+/** Everything of one run; its parts end in the reverse order. */
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options)
+      : options_(options),
+        plan_(options.block),
+        world_(plan_, store_, options.seed, options.sabotage),
+        nodes_(plan_, options.program, store_.address(), options.folder),
+        faults_(plan_, world_, nodes_, store_) {}
+
+  Result<SoakResult, SoakError> run() {
+    world_.start();
+    nodes_.startAll();
+    if (!waitReady()) {
+      return SoakError::kNotReady;
+    }
+    const TimePoint start = steadyNow();
+    const TimePoint end = start + std::chrono::seconds(options_.seconds);
+    const Duration calm = plan_.bounds().recovery + kJudgedTime + kWindDown;
+    {
+      const std::lock_guard lock(world_.mutex());
+      world_.startTraffic(start);
+    }
+    planned_ = drawFaults(options_.seed, end - start - calm);
+    faults_.schedule(start, planned_);
+    const TimePoint faultsOver = playUntil(end);
+    return judge(start, faultsOver, end);
+  }
+
+ private:
+  bool waitReady() {
+    const TimePoint deadline = steadyNow() + kStartPatience;
+    while (world_.readiness().inCount() < plan_.nodes().size()) {
+      if (steadyNow() >= deadline) {
+        return false;
+      }
+      std::this_thread::sleep_for(kStep);
+    }
+    return true;
+  }
+
+  /** @return when the last fault was over. */
+  TimePoint playUntil(TimePoint end) {
+    TimePoint nextMeasure = steadyNow();
+    std::optional<TimePoint> over;
+    for (TimePoint now = steadyNow(); now < end; now = steadyNow()) {
+      faults_.play(now);
+      if (now >= nextMeasure) {
+        nodes_.measure();
+        nextMeasure = now + kMeasureInterval;
+      }
+      if (faults_.isOver() && !over) {
+        over = now;
+        const std::lock_guard lock(world_.mutex());
+        world_.afterLastFault();
+      }
+      std::this_thread::sleep_for(kStep);
+    }
+    {
+      const std::lock_guard lock(world_.mutex());
+      world_.stopTraffic();
+    }
+    std::this_thread::sleep_for(kWindDown);
+    return over.value_or(end);
+  }
+
+  Result<SoakResult, SoakError> judge(TimePoint start, TimePoint faultsOver, TimePoint end) {
+    nodes_.endAll();
+    const std::lock_guard lock(world_.mutex());
+    SoakResult result;
+    result.callers = world_.totals();
+    if (result.callers.asked < kFewestRequests) {
+      return SoakError::kNoTraffic;
+    }
+    result.runs = world_.runs();
+    result.probes = world_.routes().probes();
+    result.versions = world_.routes().version();
+    result.faults = faults_.counts();
+    result.planned = planned_;
+    result.seconds = world_.seconds();
+    judgeRecovery(start, faultsOver, end, result);
+    judgeNodes(end - start, result);
+    for (uint8_t index = 0; index < static_cast<uint8_t>(Promise::kCount); ++index) {
+      const auto promise = static_cast<Promise>(index);
+      if (world_.promises().count(promise) > 0) {
+        result.broken[promise] = world_.promises().count(promise);
+      }
+    }
+    result.violations = world_.promises().first();
+    return result;
+  }
+
+  void judgeRecovery(TimePoint start, TimePoint faultsOver, TimePoint end, SoakResult& result) {
+    const auto secondOf = [start](TimePoint at) {
+      return std::chrono::ceil<std::chrono::seconds>(at - start).count();
+    };
+    SecondCounts judged;
+    for (const auto& [second, counts] : result.seconds) {
+      if (second >= secondOf(faultsOver + plan_.bounds().recovery) && second < secondOf(end)) {
+        judged.asked += counts.asked;
+        judged.served += counts.served;
+      }
+    }
+    result.servedAfterRecovery =
+        judged.asked == 0 ? 0.0
+                          : static_cast<double>(judged.served) / static_cast<double>(judged.asked);
+    if (result.servedAfterRecovery < kServedAfterRecovery) {
+      world_.promises().broken(end, Promise::kRecovery,
+                               "served " + std::to_string(result.servedAfterRecovery) + " of " +
+                                   std::to_string(judged.asked));
+    }
+  }
+
+  void judgeNodes(Duration length, SoakResult& result) {
+    const NodeLimits limits;
+    const double seconds = std::chrono::duration<double>(length).count();
+    for (size_t node = 0; node < plan_.nodes().size(); ++node) {
+      const NodePeak& peak = nodes_.peaks()[node];
+      const std::string& name = plan_.nodes()[node].name;
+      result.highest.memoryMegabytes =
+          std::max(result.highest.memoryMegabytes, peak.memoryMegabytes);
+      result.highest.descriptors = std::max(result.highest.descriptors, peak.descriptors);
+      result.highest.lives = std::max(result.highest.lives, peak.lives);
+      std::ifstream file(nodes_.logFile(node));
+      const LogSummary log = summarizeLog(file);
+      result.logLines += log.lines;
+      const TimePoint now = steadyNow();
+      if (!isWithin(limits, peak)) {
+        world_.promises().broken(now, Promise::kBoundedNodes, name);
+      }
+      if (!isReadable(limits, log, peak.lives, seconds)) {
+        world_.promises().broken(now, Promise::kReadableLogs, name + ": " + log.firstUnreadable);
+      }
+    }
+  }
+
+  const SoakOptions options_;
+  const DeploymentPlan plan_;
+  test::StandinStore store_;
+  SoakWorld world_;
+  NodeProcesses nodes_;
+  FaultPlayer faults_;
+  std::vector<Fault> planned_;
+};
+
+}  // namespace
+
+std::string_view toString(SoakError error) {
+  switch (error) {
+    case SoakError::kNotReady:
+      return "not_ready";
+    case SoakError::kNoTraffic:
+      return "no_traffic";
+  }
+  return "unknown";
+}
+
+Result<SoakResult, SoakError> runSoak(const SoakOptions& options) {
+  return Soak(options).run();
+}
+
+}  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/world/stream_end.h
@@ -0,0 +1,74 @@
+/** @file One end of a flow's byte stream: parts, acknowledgements, repeats, order. No I/O. */
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/base/time.h"
+#include "test/soak/world/echo_packet.h"
+
+namespace umberhold::soak {
+
+/** The addresses of a flow as this end writes them. */
+struct StreamAddresses {
+  uint32_t source = 0;
+  uint32_t target = 0;
+  uint16_t sourcePort = 0;
+  uint16_t targetPort = 0;
+};
+
+/** See the file comment. Not thread safe. */
+class StreamEnd {
+ public:
+  /**
+   * @param nextSequence of the first byte that this end sends.
+   * @param expected sequence number of the first byte of the other end.
+   */
+  StreamEnd(const StreamAddresses& addresses, uint32_t nextSequence, uint32_t expected)
+      : addresses_(addresses), nextSequence_(nextSequence), expected_(expected) {}
+
+  void write(const std::string& bytes);
+  /** Ends the stream after what was written. */
+  void finish();
+  /** @return the bytes that follow in order; packets to send are added to `out`. */
+  std::string onPacket(TimePoint now, const EchoPacket& packet, std::vector<std::string>& out);
+  /** Sends what is due for the first time or again. */
+  void tick(TimePoint now, std::vector<std::string>& out);
+
+  /** @return whether the other end has sent everything. */
+  bool isFinishedByOther() const { return finishedByOther_; }
+  /** @return whether all that was written was acknowledged, the end included. */
+  bool isDrained() const { return parts_.empty(); }
+  /** @return how often the part that waits longest was sent. */
+  uint32_t tries() const { return parts_.empty() ? 0 : parts_.front().tries; }
+  void setEcho(uint32_t echo) { echo_ = echo; }
+  const StreamAddresses& addresses() const { return addresses_; }
+
+ private:
+  struct Part {
+    uint32_t sequence = 0;
+    std::string data;
+    bool last = false;
+    uint32_t tries = 0;
+    TimePoint dueAt{};
+    Duration wait{0};
+
+    uint32_t length() const { return static_cast<uint32_t>(data.size()) + (last ? 1 : 0); }
+  };
+
+  EchoPacket blank(uint8_t flags) const;
+  void takeAcknowledgement(uint32_t acknowledged);
+
+  StreamAddresses addresses_;
+  uint32_t nextSequence_;
+  uint32_t expected_;
+  uint32_t echo_ = 0;
+  std::deque<Part> parts_;
+  std::map<uint32_t, EchoPacket> early_;
+  bool finishedByOther_ = false;
+};
+
+}  // namespace umberhold::soak
