Put the folders of source/common in layers, and keep them so by a lint check

Change: message types in messages/, settings of programs in settings/, the service catalogue in catalog/, the checks of operators' objects in admin/, drop reasons and the service look-up in flow/, node status in node/, ProbeResult in health/, weight bytes in policy/ with their test. source/common/LAYERS lists the order; ./dev lint fails on an include of a higher layer.

Ruled out: a list of allowed exceptions: none is left.

--- a/bench/service_catalog_benchmark.cc
+++ b/bench/service_catalog_benchmark.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "common/config/service_catalog.h"
+#include "common/catalog/service_catalog.h"
 #include "common/spread/record_store.h"
 #include "common/wire/codec.h"
 
--- a/source/common/admin/api_context.h
+++ b/source/common/admin/api_context.h
@@ -11,7 +11,7 @@
 #include "common/admin/api_kind.h"
 #include "common/admin/call_clock.h"
 #include "common/admin/change_coordinator.h"
-#include "common/admin/node_status.h"
+#include "common/node/node_status.h"
 #include "common/policy/policy_engine.h"
 
 namespace umberhold {
--- a/source/common/admin/api_error.h
+++ b/source/common/admin/api_error.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "common/admin/http_handler.h"
-#include "common/config/validation.h"
+#include "common/admin/validation.h"
 
 namespace umberhold {
 
--- a/source/common/admin/node_configuration.h
+++ b/source/common/admin/node_configuration.h
@@ -4,8 +4,8 @@
 #include <set>
 #include <string>
 
-#include "common/admin/node_status.h"
-#include "common/config/validation.h"
+#include "common/admin/validation.h"
+#include "common/node/node_status.h"
 
 namespace umberhold {
 
--- a/source/common/admin/object_checks.h
+++ b/source/common/admin/object_checks.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "common/admin/api_context.h"
+#include "common/admin/validation.h"
 #include "common/config/service.h"
-#include "common/config/validation.h"
 
 namespace umberhold {
 
--- a/source/common/config/service_catalog.cc
+++ b/source/common/catalog/service_catalog.cc
@@ -1,4 +1,4 @@
-#include "common/config/service_catalog.h"
+#include "common/catalog/service_catalog.h"
 
 #include <algorithm>
 
--- a/source/common/config/service_catalog.h
+++ b/source/common/catalog/service_catalog.h
@@ -17,7 +17,7 @@
 #include "common/base/result.h"
 #include "common/config/record.h"
 #include "common/config/service_source.h"
-#include "common/packet/service_lookup.h"
+#include "common/flow/service_lookup.h"
 #include "common/wire/codec_error.h"
 
 namespace umberhold {
--- a/source/common/config/service_source.h
+++ b/source/common/config/service_source.h
@@ -8,7 +8,7 @@
 
 namespace umberhold {
 
-/** Read access to the services whose home region is this node's; config/service_catalog.h
+/** Read access to the services whose home region is this node's; catalog/service_catalog.h
  * implements it. */
 class ServiceSource {
  public:
--- a/source/common/packet/drop_reason.cc
+++ b/source/common/flow/drop_reason.cc
@@ -1,4 +1,4 @@
-#include "common/packet/drop_reason.h"
+#include "common/flow/drop_reason.h"
 
 namespace umberhold {
 
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -15,8 +15,8 @@
 #include "common/base/endpoint.h"
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
+#include "common/flow/drop_reason.h"
 #include "common/flow/flow_key.h"
-#include "common/packet/drop_reason.h"
 
 namespace umberhold {
 
--- a/source/common/flow/flow_table.h
+++ b/source/common/flow/flow_table.h
@@ -19,10 +19,10 @@
 #include "common/base/result.h"
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
+#include "common/flow/drop_reason.h"
 #include "common/flow/flow_key.h"
 #include "common/flow/flow_state.h"
 #include "common/flow/source_limiter.h"
-#include "common/packet/drop_reason.h"
 
 namespace umberhold {
 
--- a/source/common/packet/service_lookup.h
+++ b/source/common/flow/service_lookup.h
@@ -1,4 +1,4 @@
-/** @file Which service a packet is meant for; config/service_catalog.h implements it. */
+/** @file Which service a packet is meant for; catalog/service_catalog.h implements it. */
 #pragma once
 
 #include <cstdint>
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -21,7 +21,7 @@
 #include "common/flow/flow_director.h"
 #include "common/flow/flow_progress.h"
 #include "common/flow/host_estimate.h"
-#include "common/packet/service_lookup.h"
+#include "common/flow/service_lookup.h"
 
 namespace umberhold {
 
--- a/source/common/membership/member_table.h
+++ b/source/common/membership/member_table.h
@@ -8,8 +8,8 @@
 
 #include "common/base/random.h"
 #include "common/base/time.h"
-#include "common/membership/member.h"
-#include "common/membership/messages.h"
+#include "common/messages/member.h"
+#include "common/messages/membership_messages.h"
 
 namespace umberhold {
 
--- a/source/common/membership/membership_view.h
+++ b/source/common/membership/membership_view.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <functional>
 
-#include "common/membership/member.h"
+#include "common/messages/member.h"
 
 namespace umberhold {
 
--- a/source/common/membership/messages.h
+++ b/source/common/messages/membership_messages.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "common/base/endpoint.h"
-#include "common/membership/member.h"
+#include "common/messages/member.h"
 
 namespace umberhold {
 
--- a/source/common/node/flow_plane.h
+++ b/source/common/node/flow_plane.h
@@ -8,12 +8,12 @@
 #include <memory>
 #include <string>
 
-#include "common/admin/node_status.h"
-#include "common/config/service_catalog.h"
+#include "common/catalog/service_catalog.h"
 #include "common/flow/flow_director.h"
 #include "common/flow/flow_table.h"
 #include "common/membership/membership_view.h"
 #include "common/node/node_core.h"
+#include "common/node/node_status.h"
 #include "common/node/policy_runner.h"
 #include "common/shard/baseline_director.h"
 #include "common/shard/shard_director.h"
@@ -39,7 +39,7 @@
   void leave(TimePoint now);
   bool handedOver() const;
   void onProbeResult(TimePoint now, const ProbeResult& result);
-  /** Takes a message of shard/messages.h. */
+  /** Takes a message of messages/shard_messages.h. */
   void onMessage(TimePoint now, const Endpoint& from, NodeId sender, const Message& message);
 
   uint64_t flowCount() const { return flows_.stats().flows; }
--- a/source/common/node/node_core.cc
+++ b/source/common/node/node_core.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "common/base/hash.h"
-#include "common/config/service_catalog.h"
+#include "common/catalog/service_catalog.h"
 #include "common/membership/failure_detector.h"
 #include "common/node/flow_plane.h"
 #include "common/packet/packet_path.h"
--- a/source/common/node/node_core.h
+++ b/source/common/node/node_core.h
@@ -13,14 +13,15 @@
 #include <string_view>
 #include <vector>
 
-#include "common/admin/node_status.h"
 #include "common/base/random.h"
 #include "common/base/time.h"
 #include "common/config/record.h"
 #include "common/flow/flow_director.h"
-#include "common/membership/member.h"
+#include "common/health/probe_result.h"
 #include "common/membership/membership_view.h"
+#include "common/messages/member.h"
 #include "common/node/node_readiness.h"
+#include "common/node/node_status.h"
 #include "common/packet/packet_output.h"
 #include "common/packet/packet_path.h"
 #include "common/platform/platform_store.h"
@@ -38,18 +39,6 @@
   virtual void probe(ServiceId service, HostId host, const Endpoint& httpEndpoint) = 0;
 };
 
-/** What a probe of a host found. */
-struct ProbeResult {
-  ServiceId service;
-  HostId host;
-  /** No answer, or an answer that was not 200. */
-  bool healthy = false;
-  /** Whether the load below was reported. */
-  bool hasLoad = false;
-  /** Load in percent of the host's capacity, as the host reports it. */
-  uint32_t loadPercent = 0;
-};
-
 /** Everything a core can cause. All are borrowed and must outlive the core. */
 struct NodeOutputs {
   MessageSink& messages;
@@ -134,7 +123,7 @@
   void addMembershipObserver(MembershipObserver& observer);
   NodeCounters counters() const;
 
-  // Questions of the administration API; see admin/node_status.h.
+  // Questions of the administration API; see node/node_status.h.
   NodeSummary summary(TimePoint now);
   std::vector<Member> members() const;
   CoverageStatus coverage(TimePoint now, uint64_t version);
--- a/source/common/admin/node_status.h
+++ b/source/common/node/node_status.h
@@ -15,7 +15,7 @@
 #include "common/base/result.h"
 #include "common/base/strong_id.h"
 #include "common/config/record.h"
-#include "common/membership/member.h"
+#include "common/messages/member.h"
 #include "common/node/node_readiness.h"
 #include "common/policy/policy_engine.h"
 
--- a/source/common/node/policy_runner.h
+++ b/source/common/node/policy_runner.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <unordered_map>
 
-#include "common/admin/node_status.h"
 #include "common/base/time.h"
-#include "common/config/service_catalog.h"
+#include "common/catalog/service_catalog.h"
+#include "common/node/node_status.h"
 #include "common/policy/policy_engine.h"
 #include "common/policy/policy_evaluator.h"
 #include "common/shard/shard_director.h"
--- a/source/common/packet/packet_format.h
+++ b/source/common/packet/packet_format.h
@@ -12,8 +12,8 @@
 #include <string_view>
 
 #include "common/base/result.h"
+#include "common/flow/drop_reason.h"
 #include "common/flow/flow_director.h"
-#include "common/packet/drop_reason.h"
 #include "common/packet/packet_parser.h"
 #include "common/packet/refusal_builder.h"
 
--- a/source/common/packet/packet_observer.h
+++ b/source/common/packet/packet_observer.h
@@ -4,8 +4,8 @@
 #include <string_view>
 
 #include "common/base/time.h"
+#include "common/flow/drop_reason.h"
 #include "common/flow/flow_director.h"
-#include "common/packet/drop_reason.h"
 #include "common/packet/packet_parser.h"
 
 namespace umberhold {
--- a/source/common/packet/packet_parser.h
+++ b/source/common/packet/packet_parser.h
@@ -6,8 +6,8 @@
 #include <string_view>
 
 #include "common/base/result.h"
+#include "common/flow/drop_reason.h"
 #include "common/flow/flow_key.h"
-#include "common/packet/drop_reason.h"
 
 namespace umberhold {
 
--- a/source/common/packet/packet_path.h
+++ b/source/common/packet/packet_path.h
@@ -8,13 +8,13 @@
 #include <string_view>
 
 #include "common/base/time.h"
+#include "common/flow/drop_reason.h"
 #include "common/flow/flow_director.h"
-#include "common/packet/drop_reason.h"
+#include "common/flow/service_lookup.h"
 #include "common/packet/packet_format.h"
 #include "common/packet/packet_observer.h"
 #include "common/packet/packet_output.h"
 #include "common/packet/packet_parser.h"
-#include "common/packet/service_lookup.h"
 
 namespace umberhold {
 
--- a/source/common/placement/base_table.h
+++ b/source/common/placement/base_table.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "common/base/strong_id.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
@@ -39,15 +39,4 @@
   uint64_t version_ = 0;
 };
 
-/**
- * Quantises raw policy weights to bytes, relative to the largest (255). A byte changes only where
- * its weight moved by at least 1/8 of what is in force, so that small swings don't make a new base
- * table.
- *
- * @param raw a weight for each host, at least 0 and finite; others count as 0.
- * @param current the bytes in force, or empty; used where the sizes agree.
- */
-std::vector<uint8_t> quantizeWeights(const std::vector<double>& raw,
-                                     const std::vector<uint8_t>& current);
-
 }  // namespace umberhold
--- a/source/common/placement/connection_limit.h
+++ b/source/common/placement/connection_limit.h
@@ -21,7 +21,7 @@
 
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
--- a/source/common/placement/load_bound.h
+++ b/source/common/placement/load_bound.h
@@ -14,9 +14,9 @@
 #include <span>
 
 #include "common/base/strong_id.h"
+#include "common/messages/shard_messages.h"
 #include "common/placement/base_table.h"
 #include "common/placement/exception_budget.h"
-#include "common/shard/messages.h"
 
 namespace umberhold {
 
--- a/source/common/placement/rendezvous.h
+++ b/source/common/placement/rendezvous.h
@@ -12,7 +12,7 @@
 #include <span>
 
 #include "common/base/strong_id.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
--- a/source/common/placement/service_placement.h
+++ b/source/common/placement/service_placement.h
@@ -21,14 +21,14 @@
 #include "common/base/time.h"
 #include "common/config/service.h"
 #include "common/health/host_health.h"
-#include "common/node/node_core.h"
+#include "common/health/probe_result.h"
+#include "common/messages/shard_messages.h"
 #include "common/placement/base_table.h"
 #include "common/placement/connection_limit.h"
 #include "common/placement/exception_budget.h"
 #include "common/placement/host_load_table.h"
 #include "common/placement/load_bound.h"
 #include "common/policy/policy_engine.h"
-#include "common/shard/messages.h"
 
 namespace umberhold {
 
--- a/source/common/placement/shard_permits.h
+++ b/source/common/placement/shard_permits.h
@@ -9,8 +9,8 @@
 
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
+#include "common/messages/shard_messages.h"
 #include "common/placement/connection_limit.h"
-#include "common/shard/messages.h"
 
 namespace umberhold {
 
--- a/source/common/platform/host_event_log.h
+++ b/source/common/platform/host_event_log.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-#include "common/platform/peer_messages.h"
+#include "common/messages/peer_messages.h"
 
 namespace umberhold {
 
--- a/source/common/policy/policy_evaluator.cc
+++ b/source/common/policy/policy_evaluator.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "common/placement/base_table.h"
+#include "common/policy/weight_bytes.h"
 
 namespace umberhold {
 
--- a/source/common/server/command_line.cc
+++ b/source/common/server/command_line.cc
@@ -6,7 +6,7 @@
 #include <iostream>
 #include <memory>
 
-#include "common/config/settings_options.h"
+#include "common/settings/settings_options.h"
 
 namespace umberhold {
 namespace {
--- a/source/common/server/command_line.h
+++ b/source/common/server/command_line.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "common/base/result.h"
-#include "common/config/settings.h"
+#include "common/settings/settings.h"
 
 namespace umberhold {
 
--- a/source/common/server/node_ports.h
+++ b/source/common/server/node_ports.h
@@ -4,8 +4,8 @@
 #include <memory>
 
 #include "common/base/result.h"
-#include "common/config/settings.h"
 #include "common/server/udp_port.h"
+#include "common/settings/settings.h"
 
 namespace umberhold {
 
--- a/source/common/server/node_process.h
+++ b/source/common/server/node_process.h
@@ -4,9 +4,9 @@
 #include <memory>
 
 #include "common/base/result.h"
-#include "common/config/settings.h"
 #include "common/server/node_signals.h"
 #include "common/server/udp_port.h"
+#include "common/settings/settings.h"
 
 namespace umberhold {
 
--- a/source/common/server/node_signals.h
+++ b/source/common/server/node_signals.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "common/base/result.h"
-#include "common/config/settings.h"
+#include "common/settings/settings.h"
 
 namespace umberhold {
 
--- a/source/common/server/node_status_bridge.h
+++ b/source/common/server/node_status_bridge.h
@@ -1,8 +1,8 @@
 /** @file Answers the admin API's questions on the loop thread. */
 #pragma once
 
-#include "common/admin/node_status.h"
 #include "common/node/node_core.h"
+#include "common/node/node_status.h"
 #include "common/server/loop_mailbox.h"
 
 namespace umberhold {
--- a/source/common/server/token_node.h
+++ b/source/common/server/token_node.h
@@ -9,13 +9,13 @@
 #include <memory>
 
 #include "common/base/result.h"
-#include "common/config/token_node_settings.h"
 #include "common/log/structured_log.h"
 #include "common/packet/packet_format.h"
 #include "common/platform/catalog_source.h"
 #include "common/platform/store_read_status.h"
 #include "common/server/poll_http_port.h"
 #include "common/server/udp_port.h"
+#include "common/settings/token_node_settings.h"
 
 namespace umberhold {
 
--- a/source/common/config/settings.h
+++ b/source/common/settings/settings.h
@@ -22,7 +22,7 @@
 /** Least severity that is logged. */
 enum class LogLevel : uint8_t { kInfo, kWarning, kError };
 
-/** A node's settings; docs/SETTINGS.md lists them, config/settings_options.cc is the source of
+/** A node's settings; docs/SETTINGS.md lists them, settings/settings_options.cc is the source of
  * both. */
 struct NodeSettings {
   uint32_t nodeId = 0;
--- a/source/common/config/settings_loader.cc
+++ b/source/common/settings/settings_loader.cc
@@ -6,9 +6,9 @@
 #include <set>
 #include <sstream>
 
-#include "common/config/settings.h"
-#include "common/config/settings_options.h"
-#include "common/config/settings_reader.h"
+#include "common/settings/settings.h"
+#include "common/settings/settings_options.h"
+#include "common/settings/settings_reader.h"
 
 namespace umberhold {
 namespace {
--- a/source/common/config/settings_options.cc
+++ b/source/common/settings/settings_options.cc
@@ -1,5 +1,5 @@
 /** @file The table of options. */
-#include "common/config/settings_options.h"
+#include "common/settings/settings_options.h"
 
 #include <algorithm>
 #include <array>
--- a/source/common/config/settings_options.h
+++ b/source/common/settings/settings_options.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "common/config/settings.h"
+#include "common/settings/settings.h"
 
 namespace umberhold {
 
--- a/source/common/config/settings_reader.cc
+++ b/source/common/settings/settings_reader.cc
@@ -1,5 +1,5 @@
 /** @file Typed values from TOML nodes. */
-#include "common/config/settings_reader.h"
+#include "common/settings/settings_reader.h"
 
 #include <cctype>
 #include <fstream>
--- a/source/common/config/settings_reader.h
+++ b/source/common/settings/settings_reader.h
@@ -4,8 +4,8 @@
 #include <toml++/toml.h>
 #include <optional>
 
-#include "common/config/settings.h"
-#include "common/config/settings_options.h"
+#include "common/settings/settings.h"
+#include "common/settings/settings_options.h"
 
 namespace umberhold::settings_internal {
 
--- a/source/common/config/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -1,4 +1,4 @@
-#include "common/config/token_node_settings.h"
+#include "common/settings/token_node_settings.h"
 
 #include <toml++/toml.h>
 
--- a/source/common/config/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -8,7 +8,7 @@
 
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
-#include "common/config/settings.h"
+#include "common/settings/settings.h"
 
 namespace umberhold {
 
--- a/source/common/shard/replica_copy.h
+++ b/source/common/shard/replica_copy.h
@@ -9,8 +9,8 @@
 
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
+#include "common/messages/shard_messages.h"
 #include "common/shard/known_flows.h"
-#include "common/shard/messages.h"
 #include "common/shard/refusal_memory.h"
 #include "common/shard/shard_content.h"
 #include "common/shard/snapshot.h"
--- a/source/common/shard/replication_log.h
+++ b/source/common/shard/replication_log.h
@@ -14,7 +14,7 @@
 
 #include "common/base/byte_budget.h"
 #include "common/base/time.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 #include "common/shard/shard_content.h"
 
 namespace umberhold {
--- a/source/common/shard/shard_content.h
+++ b/source/common/shard/shard_content.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "common/base/strong_id.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
--- a/source/common/shard/shard_director.h
+++ b/source/common/shard/shard_director.h
@@ -49,7 +49,7 @@
   /** Runs what is due, the flow table's sweep included; call about every 10 ms. */
   void tick(TimePoint now, UnixSeconds unixNow);
   /**
-   * Takes a message of shard/messages.h; @return false for any other kind.
+   * Takes a message of messages/shard_messages.h; @return false for any other kind.
    * @param from control endpoint of the sender, which this node's view may not hold yet.
    */
   bool onMessage(TimePoint now, const Endpoint& from, NodeId sender, const Message& message);
--- a/source/common/shard/shard_map.h
+++ b/source/common/shard/shard_map.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "common/base/strong_id.h"
-#include "common/membership/member.h"
-#include "common/shard/messages.h"
+#include "common/messages/member.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
--- a/source/common/shard/snapshot.h
+++ b/source/common/shard/snapshot.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 #include "common/shard/shard_content.h"
 
 namespace umberhold {
--- a/source/common/shard/snapshot_sender.h
+++ b/source/common/shard/snapshot_sender.h
@@ -8,7 +8,7 @@
 
 #include "common/base/byte_budget.h"
 #include "common/base/time.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
--- a/source/common/shard/takeover.h
+++ b/source/common/shard/takeover.h
@@ -15,7 +15,7 @@
 
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
-#include "common/shard/messages.h"
+#include "common/messages/shard_messages.h"
 #include "common/shard/shard_content.h"
 #include "common/shard/snapshot.h"
 
--- a/source/common/spread/coverage.h
+++ b/source/common/spread/coverage.h
@@ -15,8 +15,8 @@
 #include "common/base/random.h"
 #include "common/base/time.h"
 #include "common/membership/membership_view.h"
+#include "common/messages/spread_messages.h"
 #include "common/spread/contact_book.h"
-#include "common/spread/messages.h"
 #include "common/wire/message_sink.h"
 
 namespace umberhold {
--- a/source/common/spread/record_fetcher.h
+++ b/source/common/spread/record_fetcher.h
@@ -6,7 +6,7 @@
 
 #include "common/base/endpoint.h"
 #include "common/base/time.h"
-#include "common/spread/messages.h"
+#include "common/messages/spread_messages.h"
 #include "common/wire/message_sink.h"
 
 namespace umberhold {
--- a/source/common/spread/record_store.h
+++ b/source/common/spread/record_store.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "common/config/record.h"
-#include "common/spread/messages.h"
+#include "common/messages/spread_messages.h"
 
 namespace umberhold {
 
--- a/source/common/wire/codec.h
+++ b/source/common/wire/codec.h
@@ -15,7 +15,7 @@
 #include "common/base/result.h"
 #include "common/config/region_contacts.h"
 #include "common/config/service.h"
-#include "common/platform/peer_messages.h"
+#include "common/messages/peer_messages.h"
 #include "common/wire/codec_error.h"
 #include "common/wire/message.h"
 
--- a/source/common/wire/enum_range.h
+++ b/source/common/wire/enum_range.h
@@ -8,8 +8,8 @@
 
 #include "common/config/record.h"
 #include "common/config/service.h"
-#include "common/membership/member.h"
-#include "common/shard/messages.h"
+#include "common/messages/member.h"
+#include "common/messages/shard_messages.h"
 
 namespace umberhold {
 
--- a/source/common/wire/message.h
+++ b/source/common/wire/message.h
@@ -10,9 +10,9 @@
 #include <cstddef>
 #include <variant>
 
-#include "common/membership/messages.h"
-#include "common/shard/messages.h"
-#include "common/spread/messages.h"
+#include "common/messages/membership_messages.h"
+#include "common/messages/shard_messages.h"
+#include "common/messages/spread_messages.h"
 
 namespace umberhold {
 
--- a/source/exe/umberholdd.cc
+++ b/source/exe/umberholdd.cc
@@ -6,10 +6,10 @@
 #include <optional>
 #include <utility>
 
-#include "common/config/settings.h"
-#include "common/config/settings_options.h"
 #include "common/server/command_line.h"
 #include "common/server/node_process.h"
+#include "common/settings/settings.h"
+#include "common/settings/settings_options.h"
 
 namespace {
 
--- a/test/bench/experiment/plan_test.cc
+++ b/test/bench/experiment/plan_test.cc
@@ -5,7 +5,7 @@
 #include "bench/experiment/deployment.h"
 #include "bench/experiment/node_settings_text.h"
 #include "bench/experiment/scenario.h"
-#include "common/config/settings.h"
+#include "common/settings/settings.h"
 
 // clang-format off
 #include "test/support/without_leak_detection.h"
--- a/test/common/config/validation_test.cc
+++ b/test/common/admin/validation_test.cc
@@ -1,4 +1,4 @@
-#include "common/config/validation.h"
+#include "common/admin/validation.h"
 
 #include <algorithm>
 #include <string>
--- a/test/common/config/service_catalog_test.cc
+++ b/test/common/catalog/service_catalog_test.cc
@@ -1,5 +1,5 @@
 /** @file The catalogue: versions decide, home region only, addresses, observers. */
-#include "common/config/service_catalog.h"
+#include "common/catalog/service_catalog.h"
 
 #include <string>
 #include <vector>
--- a/test/common/config/settings_test.cc
+++ b/test/common/settings/settings_test.cc
@@ -1,12 +1,12 @@
 /** @file Tests of the node's settings: what is refused, with which line, and what flags override.
  */
-#include "common/config/settings.h"
+#include "common/settings/settings.h"
 
 #include <fstream>
 #include <iterator>
 #include <string>
 
-#include "common/config/settings_options.h"
+#include "common/settings/settings_options.h"
 #include "test/support/without_leak_detection.h"
 
 using namespace umberhold;
--- a/test/soak/unit/route_book_test.cc
+++ b/test/soak/unit/route_book_test.cc
@@ -38,8 +38,12 @@
     }
     FAIL("no such marker");
   }
-  uint64_t late() const { return promises.count(Promise::kConfigurationInTime); }
-  uint64_t older() const { return promises.count(Promise::kNoOlderConfiguration); }
+  uint64_t late() const {
+    return promises.count(Promise::kConfigurationInTime);
+  }
+  uint64_t older() const {
+    return promises.count(Promise::kNoOlderConfiguration);
+  }
 };
 
 TEST(RouteBook, ARefusalLongAfterTheVersionIsTooLate) {
--- a/test/soak/world/exchange.cc
+++ b/test/soak/world/exchange.cc
@@ -81,9 +81,8 @@
 
 std::string answerText(const Request& request, const std::string& service) {
   return "HTTP/1.1 200 OK\r\n" + line(kRequestHeader, std::to_string(request.id)) +
-         line(kServiceHeader, service) +
-         line(kLengthHeader, std::to_string(request.answerBytes)) + "\r\n" +
-         bodyOf(request.id, request.answerBytes);
+         line(kServiceHeader, service) + line(kLengthHeader, std::to_string(request.answerBytes)) +
+         "\r\n" + bodyOf(request.id, request.answerBytes);
 }
 
 std::optional<Request> takeRequest(std::string& text) {
--- a/test/soak/world/node_processes.cc
+++ b/test/soak/world/node_processes.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-NodeProcesses::NodeProcesses(const DeploymentPlan& plan, std::string program,
-                             const Endpoint& store, std::string folder)
+NodeProcesses::NodeProcesses(const DeploymentPlan& plan, std::string program, const Endpoint& store,
+                             std::string folder)
     : plan_(plan),
       program_(std::move(program)),
       folder_(std::move(folder)),
@@ -24,8 +24,8 @@
   for (const NodePlan& node : plan_.nodes()) {
     cuts_.push_back(std::make_unique<std::atomic<bool>>(false));
     std::atomic<bool>* const cut = cuts_.back().get();
-    fronts_.push_back(std::make_unique<standins::TcpFront>(node.store, store,
-                                                           [cut] { return cut->load(); }));
+    fronts_.push_back(
+        std::make_unique<standins::TcpFront>(node.store, store, [cut] { return cut->load(); }));
   }
 }
 
--- a/test/soak/world/readiness_watch.cc
+++ b/test/soak/world/readiness_watch.cc
@@ -44,8 +44,8 @@
 }
 
 size_t ReadinessWatch::inCount() const {
-  return static_cast<size_t>(
-      std::count_if(states_.begin(), states_.end(), [](const auto& state) { return bool(state->in); }));
+  return static_cast<size_t>(std::count_if(states_.begin(), states_.end(),
+                                           [](const auto& state) { return bool(state->in); }));
 }
 
 size_t routeOf(const std::vector<NodePlan>& nodes, const ReadinessWatch& readiness,
@@ -68,9 +68,9 @@
   } else if (2 * in.size() < ofZone.size()) {
     candidates = &ofZone;
   }
-  return *std::max_element(candidates->begin(), candidates->end(), [flow](size_t left, size_t right) {
-    return mixHash(flow, left) < mixHash(flow, right);
-  });
+  return *std::max_element(
+      candidates->begin(), candidates->end(),
+      [flow](size_t left, size_t right) { return mixHash(flow, left) < mixHash(flow, right); });
 }
 
 }  // namespace umberhold::soak
--- a/test/soak/world/route_book.cc
+++ b/test/soak/world/route_book.cc
@@ -118,12 +118,14 @@
   const std::string detail = nodeName + " " + handled + " marker " + std::to_string(probe.marker) +
                              ", version " + std::to_string(neededVersion) + " of " +
                              std::to_string(version());
-  if (neededSince != TimePoint::max() && probe.sentAt > neededSince + plan_.bounds().change + kSlack) {
+  if (neededSince != TimePoint::max() &&
+      probe.sentAt > neededSince + plan_.bounds().change + kSlack) {
     promises_.broken(now, Promise::kConfigurationInTime, detail);
   }
   const auto shown = shown_.find(probe.node);
   if (shown != shown_.end() && shown->second.life == probe.life &&
-      shown->second.version >= neededVersion && probe.sentAt > shown->second.at + plan_.bounds().back) {
+      shown->second.version >= neededVersion &&
+      probe.sentAt > shown->second.at + plan_.bounds().back) {
     promises_.broken(now, Promise::kNoOlderConfiguration, detail);
   }
 }
--- a/test/soak/world/soak_caller.cc
+++ b/test/soak/world/soak_caller.cc
@@ -79,7 +79,8 @@
 
 void SoakCaller::onDatagram(TimePoint now, std::string_view bytes) {
   const auto packet = decode(bytes);
-  const bool isSystemReset = packet && packet->has(kRst) && packet->sum == 0 && packet->data.empty();
+  const bool isSystemReset =
+      packet && packet->has(kRst) && packet->sum == 0 && packet->data.empty();
   if (!packet || (!isSystemReset && !isSealed(*packet))) {
     hooks_.wrongAnswer("a packet that nobody wrote so");
     return;
@@ -166,8 +167,8 @@
   ++(served ? counts_.served : counts_.failed);
   hooks_.ended(wanted_->begunAt, served);
   wanted_.reset();
-  nextAt_ = now + Duration{static_cast<Duration::rep>(
-                      static_cast<double>(habit_.pause.count()) * (0.5 + random_.unit()))};
+  nextAt_ = now + Duration{static_cast<Duration::rep>(static_cast<double>(habit_.pause.count()) *
+                                                      (0.5 + random_.unit()))};
   if (habit_.freshFlows || !served) {
     closeFlow(now);
   }
--- a/test/soak/world/soak_host.cc
+++ b/test/soak/world/soak_host.cc
@@ -84,8 +84,13 @@
   auto found = flows_.find(name);
   if (found == flows_.end()) {
     const auto first = static_cast<uint32_t>(random_.below(UINT32_MAX));
-    Flow flow{StreamEnd(addressesOf(name), first + 1, packet.sequence + 1), first, now, false, false,
-              {},   {}};
+    Flow flow{StreamEnd(addressesOf(name), first + 1, packet.sequence + 1),
+              first,
+              now,
+              false,
+              false,
+              {},
+              {}};
     found = flows_.emplace(name, std::move(flow)).first;
   }
   EchoPacket answer = packetOn(name, kSyn | kAck);
--- a/test/soak/world/soak_world.cc
+++ b/test/soak/world/soak_world.cc
@@ -70,10 +70,9 @@
       plan_, store_.objects(), [this](size_t slot) { return hooksOf(slot); }, random_);
   openHostSockets();
   makeCallers();
-  probeSocket_ = loop_.open({plan_.probeAddress(), DeploymentPlan::kDataPort},
-                            [this](const Endpoint&, std::string_view bytes) {
-                              onProbeDatagram(bytes);
-                            });
+  probeSocket_ =
+      loop_.open({plan_.probeAddress(), DeploymentPlan::kDataPort},
+                 [this](const Endpoint&, std::string_view bytes) { onProbeDatagram(bytes); });
 }
 
 SoakWorld::~SoakWorld() {
@@ -85,10 +84,10 @@
 
 void SoakWorld::openHostSockets() {
   for (size_t slot = 0; slot < fleet_->slots().size(); ++slot) {
-    hostSockets_.push_back(loop_.open(
-        fleet_->slots()[slot].address, [this, slot](const Endpoint& from, std::string_view bytes) {
-          onHostDatagram(slot, from, bytes);
-        }));
+    hostSockets_.push_back(loop_.open(fleet_->slots()[slot].address,
+                                      [this, slot](const Endpoint& from, std::string_view bytes) {
+                                        onHostDatagram(slot, from, bytes);
+                                      }));
   }
 }
 
@@ -266,11 +265,9 @@
     routes_->onAccepted(now, flow.caller.port);
   }
   const HostSlot& taken = fleet_->slots()[slot];
-  const bool late =
-      taken.leavesSince && now > *taken.leavesSince + plan_.bounds().drain + kSlack;
+  const bool late = taken.leavesSince && now > *taken.leavesSince + plan_.bounds().drain + kSlack;
   if (late && anyTrouble_.isInTouch(name, now) && anyTrouble_.isInTouch("store", now)) {
-    promises_.broken(now, Promise::kNoFlowsOnLeavingHosts,
-                     name + " to " + taken.host->plan().id);
+    promises_.broken(now, Promise::kNoFlowsOnLeavingHosts, name + " to " + taken.host->plan().id);
   }
 }
 
--- a/test/support/fake_node_status.h
+++ b/test/support/fake_node_status.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "common/admin/node_status.h"
+#include "common/node/node_status.h"
 #include "common/wire/codec.h"
 
 namespace umberhold {
