--- a/bench/support/address_block.cc
+++ b/bench/support/address_block.cc
@@ -24,7 +24,7 @@
     const std::string host = "127." + std::to_string(number) + kClaimHost;
     try {
       Poco::Net::DatagramSocket socket(Poco::Net::SocketAddress(host, kClaimPort), false);
-      return AddressBlock(static_cast<uint8_t>(number), std::move(socket));
+      return AddressBlock(static_cast<uint8_t>(number), socket);
     } catch (const Poco::Net::NetException&) {
       continue;  // Another run has it.
     }
--- a/bench/support/address_block.h
+++ b/bench/support/address_block.h
@@ -25,8 +25,8 @@
   uint8_t number() const { return number_; }
 
  private:
-  AddressBlock(uint8_t number, Poco::Net::DatagramSocket socket)
-      : number_(number), socket_(std::move(socket)) {}
+  AddressBlock(uint8_t number, const Poco::Net::DatagramSocket& socket)
+      : number_(number), socket_(socket) {}
 
   uint8_t number_;
   Poco::Net::DatagramSocket socket_;
--- a/bench/support/process_group.h
+++ b/bench/support/process_group.h
@@ -42,6 +42,7 @@
   bool waitForEnd(const std::string& name, int milliseconds);
   /** Ends a process at once. */
   void kill(const std::string& name);
+  /** @return nothing where it has ended, or does not execute its program yet. */
   std::optional<ProcessUsage> usage(const std::string& name) const;
 
  private:
--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -44,7 +44,8 @@
 
 /** Pace of a follower. */
 struct FollowerOptions {
-  Duration longestWatch = std::chrono::seconds(30);
+  /** Bounds how long a watch that was lost in a silence between two probes goes unnoticed. */
+  Duration longestWatch = std::chrono::seconds(10);
   /** Wait after changes, so that those that come in a row cost one call. */
   Duration gatherChanges = std::chrono::milliseconds(250);
   /** In its place, where it is shorter, for a while after expectChanges(). */
--- a/source/common/platform/store_liveness.h
+++ b/source/common/platform/store_liveness.h
@@ -17,8 +17,8 @@
 struct StoreLivenessOptions {
   /** From the start to the first probe: longer than a list takes from a store that works. */
   Duration first = std::chrono::seconds(1);
-  /** Between probes that are answered. Shorter than any outage that matters. */
-  Duration interval = std::chrono::milliseconds(1500);
+  /** Between probes that are answered: with its jitter, one is sent in any silence of a second. */
+  Duration interval = std::chrono::milliseconds(800);
   /** The same while other nodes rely on this one's reading: each probe confirms it to them. */
   Duration servingInterval = std::chrono::milliseconds(500);
   /** After a probe without an answer. */
