--- a/source/common/node/flow_plane.cc
+++ b/source/common/node/flow_plane.cc
@@ -106,6 +106,10 @@
   shards_.leave(now);
 }
 
+std::vector<HeldShard> FlowPlane::heldShards() const {
+  return shards_.heldShards();
+}
+
 bool FlowPlane::handedOver() const {
   return shards_.handedOver();
 }
--- a/source/common/node/node_core.cc
+++ b/source/common/node/node_core.cc
@@ -118,6 +118,10 @@
   parts_->detector.announceReady(now);
 }
 
+std::vector<HeldShard> NodeCore::heldShards() const {
+  return parts_->flows.heldShards();
+}
+
 void NodeCore::finishLeaving(TimePoint now) {
   if (!parts_->flows.handedOver()) {
     parts_->handedOverAt.reset();
--- a/source/common/node/node_core.h
+++ b/source/common/node/node_core.h
@@ -26,6 +26,7 @@
 #include "common/packet/packet_path.h"
 #include "common/platform/platform_store.h"
 #include "common/policy/policy_engine.h"
+#include "common/shard/held_shard.h"
 #include "common/shard/shard_counters.h"
 #include "common/wire/message.h"
 #include "common/wire/message_sink.h"
@@ -114,6 +115,8 @@
   /** Starts a planned stop; readiness() is kLeft once everything is handed over. */
   void leave(TimePoint now);
 
+  /** @return the shards that a leaving node still has to hand over. */
+  std::vector<HeldShard> heldShards() const;
   NodeReadiness readiness() const;
   /** @return this node's identity and state. */
   const Member& self() const;
--- a/source/common/server/node_process.cc
+++ b/source/common/server/node_process.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "common/admin/admin_api.h"
 #include "common/admin/call_clock.h"
@@ -31,6 +32,10 @@
 namespace umberhold {
 namespace {
 
+/** How often a leaving node says which shards it still holds, and of how many. */
+constexpr Duration kHeldNoteInterval = std::chrono::seconds(2);
+constexpr size_t kToldShards = 3;
+
 /** Unix milliseconds, which number the incarnations of a node. */
 uint64_t incarnationNow() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -189,9 +194,28 @@
     }
     core.onTick(now, unixNow());
     noteReadiness();
+    noteHeldShards(now);
     return !stopDeadline || (core.readiness() != NodeReadiness::kLeft && now < *stopDeadline);
   }
 
+  /** Says now and then what a leaving node waits for. */
+  void noteHeldShards(TimePoint now) {
+    if (core.readiness() != NodeReadiness::kLeaving || now < nextHeldNote) {
+      return;
+    }
+    nextHeldNote = now + kHeldNoteInterval;
+    const std::vector<HeldShard> held = core.heldShards();
+    const size_t told = std::min(held.size(), kToldShards);
+    for (size_t index = 0; index < told; ++index) {
+      const HeldShard& shard = held[index];
+      LOG(INFO) << "event=leave_waits shards=" << held.size()
+                << " service=" << shard.shard.service.value << " shard=" << shard.shard.index
+                << " role=" << toString(shard.role) << " epoch=" << shard.epoch
+                << " flows=" << shard.flows << " gave_way=" << shard.gaveWay
+                << " successor=" << shard.successor.value;
+    }
+  }
+
   void noteReadiness() {
     if (core.readiness() == lastReadiness) {
       return;
@@ -223,6 +247,8 @@
   std::unique_ptr<HttpServer> http;
   std::optional<TimePoint> stopDeadline;
   std::optional<NodeReadiness> lastReadiness;
+  /** When a leaving node next says what it waits for. */
+  TimePoint nextHeldNote{};
   ReloadCounters reloads;
 };
 
--- a/source/common/shard/local_shard.cc
+++ b/source/common/shard/local_shard.cc
@@ -384,6 +384,24 @@
   return role_ == ShardRole::kNone && !replica_ && !isNamedOwner();
 }
 
+std::string_view toString(ShardRole role) {
+  switch (role) {
+    case ShardRole::kNone:
+      return "none";
+    case ShardRole::kAcquiring:
+      return "acquiring";
+    case ShardRole::kOwner:
+      return "owner";
+    case ShardRole::kReleased:
+      return "released";
+  }
+  return "unknown";
+}
+
+HeldShard LocalShard::heldShard() const {
+  return {id_, role_, epoch_, context_.flows.flowCount(flowSlot_), fenced_, successor_};
+}
+
 bool LocalShard::isHandedOver() const {
   if (role_ == ShardRole::kOwner) {
     return false;
--- a/source/common/shard/local_shard.h
+++ b/source/common/shard/local_shard.h
@@ -17,6 +17,7 @@
 
 #include "common/flow/flow_director.h"
 #include "common/placement/base_table.h"
+#include "common/shard/held_shard.h"
 #include "common/shard/hold_queue.h"
 #include "common/shard/host_slots.h"
 #include "common/shard/known_flows.h"
@@ -30,9 +31,6 @@
 
 namespace umberhold {
 
-/** What a node is to a shard, apart from keeping a replica of it. */
-enum class ShardRole : uint8_t { kNone, kAcquiring, kOwner, kReleased };
-
 /** Why a flow would go where it would go. */
 enum class ExplainReason : uint8_t {
   kEstablished,
@@ -110,6 +108,8 @@
   bool isIdle() const;
   /** @return whether a leaving node may forget the shard. */
   bool isHandedOver() const;
+  /** @return what there is to hand over. */
+  HeldShard heldShard() const;
   PlacementExplanation explain(TimePoint now, FlowHash flow) const;
   ShardStats stats(TimePoint now) const;
 
--- a/source/common/shard/shard_director.cc
+++ b/source/common/shard/shard_director.cc
@@ -292,11 +292,19 @@
 }
 
 bool ShardDirector::handedOver() const {
-  return std::all_of(shards_.begin(), shards_.end(), [this](const auto& entry) {
-    const auto named = map_.lookup(entry.first);
+  return heldShards().empty();
+}
+
+std::vector<HeldShard> ShardDirector::heldShards() const {
+  std::vector<HeldShard> held;
+  for (const auto& [id, shard] : shards_) {
+    const auto named = map_.lookup(id);
     const bool noSuccessor = !named || named->owner == context_.self();
-    return noSuccessor || entry.second->isHandedOver();
-  });
+    if (!noSuccessor && !shard->isHandedOver()) {
+      held.push_back(shard->heldShard());
+    }
+  }
+  return held;
 }
 
 ServicePlacement* ShardDirector::placementOf(ServiceId id) {
--- a/test/common/shard/shard_director_test.cc
+++ b/test/common/shard/shard_director_test.cc
@@ -218,4 +218,26 @@
   node.director.onMemberChanged(leaving);
   node.director.leave(node.now);
   CHECK(node.director.handedOver());
+  CHECK(node.director.heldShards().empty());
+}
+
+TEST(ShardDirector, TellsWhatALeaveWaitsFor) {
+  LoneNode node;
+  node.tick();
+  Member newcomer;
+  newcomer.id = kNewcomer;
+  newcomer.state = MemberState::kAlive;
+  node.view.apply(newcomer);
+  node.director.onMemberChanged(newcomer);
+  Member leaving = LoneNode::member();
+  leaving.state = MemberState::kLeaving;
+  node.view.apply(leaving);
+  node.director.onMemberChanged(leaving);
+  node.director.leave(node.now);
+  const std::vector<HeldShard> held = node.director.heldShards();
+  CHECK_EQUAL(1U, held.size());
+  CHECK(held.front().shard == kShard);
+  CHECK(held.front().role == ShardRole::kOwner);
+  CHECK_FALSE(held.front().gaveWay);
+  CHECK_FALSE(node.director.handedOver());
 }
