--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -44,8 +44,10 @@
 
 /** Pace of a follower. */
 struct FollowerOptions {
-  /** Bounds how long a watch that was lost in a silence between two probes goes unnoticed. */
-  Duration longestWatch = std::chrono::seconds(10);
+  /** Bounds how long a watch that was lost in a silence between two probes goes unnoticed. A watch
+   * that is asked while the store forgets its history may be lost, too: more of them are no gain.
+   */
+  Duration longestWatch = std::chrono::seconds(30);
   /** Wait after changes, so that those that come in a row cost one call. */
   Duration gatherChanges = std::chrono::milliseconds(250);
   /** In its place, where it is shorter, for a while after expectChanges(). */
--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -178,6 +178,21 @@
   CHECK_TRUE(followToActive(8));
 }
 
+/** Found by a hunt: a watch that was asked while the store forgot its history heard nothing more,
+ * and the watch of the other kind was told that the history is gone. */
+TEST(ObjectStoreAdapter, ALostHistoryEndsTheWatchesOfBothKinds) {
+  longestWatch = seconds(60);
+  setUp(4);
+  start();
+  setHost(5);
+  CHECK_TRUE(followToActive(5));
+  std::this_thread::sleep_for(milliseconds(300));
+  store->objects().muteWaiting("config");
+  store->objects().set("config", "main", configuration(5, "s-one", 3));
+  store->objects().forgetHistory();
+  CHECK_TRUE(follow([this] { return services.size() == 3; }));
+}
+
 TEST(ObjectStoreAdapter, WakesAWaitingWatchForAConfigurationAlone) {
   setUp(1);
   start();
--- a/test/platform/store/standin_objects.cc
+++ b/test/platform/store/standin_objects.cc
@@ -91,6 +91,7 @@
                                                                       uint64_t since,
                                                                       Duration wait) {
   std::unique_lock lock(mutex_);
+  const uint64_t number = ++watches_;
   const auto collect = [this, &kind, since] {
     StandinEvents found;
     found.at = live_.revision;
@@ -101,7 +102,11 @@
     }
     return found;
   };
-  changed_.wait_for(lock, wait, [this, &collect, since] {
+  changed_.wait_for(lock, wait, [this, &collect, &kind, since, number] {
+    const auto muted = mutedUpTo_.find(kind);
+    if (muted != mutedUpTo_.end() && number <= muted->second) {
+      return stopped_;
+    }
     return stopped_ || since < forgotten_ || !collect().events.empty();
   });
   if (since < forgotten_) {
@@ -129,6 +134,11 @@
   changed_.notify_all();
 }
 
+void StandinObjects::muteWaiting(const std::string& kind) {
+  const std::lock_guard lock(mutex_);
+  mutedUpTo_[kind] = watches_;
+}
+
 void StandinObjects::freezeStaleReads() {
   const std::lock_guard lock(mutex_);
   frozen_ = live_;
--- a/test/platform/store/standin_objects.h
+++ b/test/platform/store/standin_objects.h
@@ -79,6 +79,8 @@
   /** Creates or replaces, whatever the revision. @return the new revision. */
   uint64_t set(const std::string& kind, const std::string& name, const std::string& spec);
   void forgetHistory();
+  /** Watches of the kind that wait now hear nothing until their time is over. */
+  void muteWaiting(const std::string& kind);
   /** Stale reads see the objects as they are now, until they are frozen anew. */
   void freezeStaleReads();
   /** Ends waiting watches without events; those to come don't wait. */
@@ -101,6 +103,9 @@
   std::optional<Snapshot> frozen_;
   std::deque<StandinEvent> history_;
   uint64_t forgotten_ = 0;
+  uint64_t watches_ = 0;
+  /** Number of the last watch that hears nothing, by kind. */
+  std::map<std::string, uint64_t> mutedUpTo_;
   bool stopped_ = false;
 };
 
