--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -186,6 +186,12 @@
   start();
   setHost(5);
   CHECK_TRUE(followToActive(5));
+  // Since an outage, the watch for configurations has had nothing to answer.
+  setMood(test::StoreMood::kReset);
+  CHECK_TRUE(follow([this] { return adapter->status().failures > 4; }));
+  setMood(test::StoreMood::kAnswering);
+  setHost(6);
+  CHECK_TRUE(followToActive(6));
   std::this_thread::sleep_for(milliseconds(300));
   store->objects().muteWaiting("config");
   store->objects().set("config", "main", configuration(5, "s-one", 3));
