Place new flows by response times that a node sees passively

Cause: a node judged hosts by its own packets and by missing acknowledgements. A host that turns slow acknowledges at once and answers late, so it kept a full share of new flows (pump-auth opens one for each request); a zone under a burst kept all its flows while hosts of other zones were half idle. Change: RequestTimer times requests by their callers' packets, UsualResponseTime and ResponseScore compare them, FlowPlacement scales load, passes over outliers and lets a part of the flows leave a zone that answers late. TokenDirector is split: hosts and pools (TokenHosts, now indexed by pool), placement, timing. The limits are settings.

--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -54,7 +54,8 @@
   std::string_view service;
   /** The host is in this node's zone. */
   bool ownZone = false;
-  /** This flow was to leave the node's zone, because the zone has few of the hosts. */
+  /** This flow was to leave the node's zone, because the zone has few of the hosts or they answer
+   * late. */
   bool leavesZone = false;
   /** The host left several openings unanswered of late, and no better one was there. */
   bool silent = false;
@@ -62,6 +63,12 @@
   bool vanished = false;
   /** This opening is a repeat; the host that left the earlier copy unanswered, or empty. */
   std::string_view avoidedHost;
+  /** The host answers far later than its pool's median, and no better one was there. */
+  bool slow = false;
+  /** The host's answers of late, as a multiple of its pool's median. */
+  double slowness = 1.0;
+  /** Answers of the node's own zone of late, as a multiple of the usual time. */
+  double zoneScore = 1.0;
   /** The host's load by this node's own packets, in packets of late. */
   double load = 0.0;
   uint32_t weight = 0;
--- /dev/null
+++ b/source/common/flow/flow_placement.cc
@@ -0,0 +1,179 @@
+#include "common/flow/flow_placement.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace umberhold {
+namespace {
+
+/**
+ * A host that vanishes without having drained may only have lost its entry for a moment; for so
+ * long it still takes flows where no other host can.
+ */
+constexpr Duration kVanishedGrace = std::chrono::milliseconds(1500);
+/** Below this part of an equal share of the hosts, a zone sends some of its flows elsewhere. */
+constexpr double kFewHosts = 0.9;
+/** Ranks of later tiers lie beyond every load. */
+constexpr double kTier = 1e9;
+
+bool mayTakeFlows(TimePoint now, const TokenHost& host) {
+  const bool isGone = !host.listed && now - host.leftAt > kVanishedGrace;
+  return !host.ended && !isGone && host.spec.state == HostState::kActive && host.spec.weight > 0;
+}
+
+}  // namespace
+
+FlowPlacement::FlowPlacement(std::string zone, PlacementOptions options, RandomSource& random)
+    : zone_(std::move(zone)), options_(options), random_(random) {}
+
+TokenHost* FlowPlacement::place(TimePoint now, const TokenPool& pool, uint32_t avoided) {
+  collect(now, pool, avoided);
+  weighTimes(now);
+  evidence_.candidates = static_cast<uint32_t>(candidates_.size());
+  evidence_.leavesZone = random_.unit() > ownZonePart(now, pool);
+  const Candidate* chosen = best();
+  if (chosen == nullptr) {
+    return nullptr;
+  }
+  noteEvidence(now, pool, *chosen);
+  return chosen->host;
+}
+
+bool FlowPlacement::isSlow(TimePoint now, const TokenPool& pool, const TokenHost& host) {
+  times_.clear();
+  for (const TokenHost* other : pool.hosts) {
+    if (mayTakeFlows(now, *other)) {
+      times_.push_back(other->estimate.responseScore(now));
+    }
+  }
+  return host.estimate.responseScore(now) > options_.slowHostRatio * medianTime();
+}
+
+void FlowPlacement::collect(TimePoint now, const TokenPool& pool, uint32_t avoided) {
+  candidates_.clear();
+  for (TokenHost* host : pool.hosts) {
+    if (!mayTakeFlows(now, *host)) {
+      continue;
+    }
+    Candidate& candidate = candidates_.emplace_back();
+    candidate.host = host;
+    candidate.otherZone = options_.prefersOwnZone && host->spec.zone != zone_;
+    candidate.silent = host->estimate.isSilent(now);
+    candidate.avoided = host->token == avoided;
+    candidate.vanished = !host->listed;
+    candidate.load = (host->estimate.load(now) + 1.0) / host->spec.weight;
+  }
+}
+
+void FlowPlacement::weighTimes(TimePoint now) {
+  times_.clear();
+  for (Candidate& candidate : candidates_) {
+    candidate.slowness = candidate.host->estimate.responseScore(now);
+    times_.push_back(candidate.slowness);
+  }
+  const double median = medianTime();
+  for (Candidate& candidate : candidates_) {
+    candidate.slowness /= median;
+    candidate.slow = candidate.slowness > options_.slowHostRatio;
+    if (candidate.slowness > options_.weighedRatio) {
+      const double excess = candidate.slowness / options_.weighedRatio;
+      candidate.load *= excess * excess;
+    }
+  }
+}
+
+double FlowPlacement::medianTime() {
+  if (times_.empty()) {
+    return 1.0;
+  }
+  const auto middle = times_.begin() + static_cast<std::ptrdiff_t>((times_.size() - 1) / 2);
+  std::nth_element(times_.begin(), middle, times_.end());
+  return *middle;
+}
+
+const FlowPlacement::Candidate* FlowPlacement::best() {
+  const Candidate* best = nullptr;
+  double bestRank = 0.0;
+  uint64_t equals = 0;
+  for (const Candidate& candidate : candidates_) {
+    const double rank = candidate.rank(evidence_.leavesZone);
+    if (best != nullptr && rank > bestRank) {
+      continue;
+    }
+    equals = best != nullptr && rank == bestRank ? equals + 1 : 1;
+    if (equals == 1 || random_.below(equals) == 0) {
+      best = &candidate;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+double FlowPlacement::ownZonePart(TimePoint now, const TokenPool& pool) const {
+  std::map<std::string_view, double> weights;
+  double total = 0.0;
+  for (const Candidate& candidate : candidates_) {
+    if (!candidate.isPoor()) {
+      weights[candidate.host->spec.zone] += candidate.host->spec.weight;
+      total += candidate.host->spec.weight;
+    }
+  }
+  const auto own = weights.find(zone_);
+  if (own == weights.end()) {
+    return 1.0;  // There is nothing to leave.
+  }
+  const double ofEqualShare = own->second * static_cast<double>(weights.size()) / total;
+  std::vector<std::string_view> others;
+  for (const auto& [zone, weight] : weights) {
+    if (zone != zone_) {
+      others.push_back(zone);
+    }
+  }
+  return (ofEqualShare < kFewHosts ? ofEqualShare : 1.0) * partByTimes(now, pool, others);
+}
+
+double FlowPlacement::partByTimes(TimePoint now, const TokenPool& pool,
+                                  const std::vector<std::string_view>& otherZones) const {
+  if (otherZones.empty()) {
+    return 1.0;
+  }
+  double others = 0.0;
+  for (const std::string_view zone : otherZones) {
+    others += pool.zoneScore(now, zone);
+  }
+  others /= static_cast<double>(otherZones.size());
+  const double bearable = options_.zoneLeavesRatio * others;
+  const double part = bearable / std::max(bearable, pool.zoneScore(now, zone_));
+  return part * part;
+}
+
+void FlowPlacement::noteEvidence(TimePoint now, const TokenPool& pool, const Candidate& chosen) {
+  const TokenHost& host = *chosen.host;
+  evidence_.ownZone = host.spec.zone == zone_;
+  evidence_.silent = chosen.silent;
+  evidence_.vanished = chosen.vanished;
+  evidence_.slow = chosen.slow;
+  evidence_.slowness = chosen.slowness;
+  evidence_.zoneScore = pool.zoneScore(now, zone_);
+  evidence_.load = host.estimate.load(now);
+  evidence_.weight = host.spec.weight;
+  evidence_.poolVersion = pool.version;
+  evidence_.poolAppliedAt = pool.appliedAt;
+}
+
+double FlowPlacement::Candidate::rank(bool leavesZone) const {
+  double tier = otherZone ? kTier : 0.0;
+  if (leavesZone && !otherZone) {
+    tier += 2 * kTier;
+  }
+  if (silent || avoided || slow) {
+    tier += 2 * kTier;
+  }
+  if (vanished) {
+    tier += 4 * kTier;
+  }
+  return tier + load;
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/flow/flow_placement.h
@@ -0,0 +1,86 @@
+/**
+ * @file Which host of a pool gets a new flow.
+ *
+ * Hosts are compared by tier first (its zone, whether it answers, whether it is registered), then
+ * by their load for their weight. Load is this node's own packets of late, scaled up for hosts that
+ * answer later than the pool's median: what Peak EWMA in Finagle and least-request with slow start
+ * in Envoy do with times and counts of requests that they terminate, this does with what passes by.
+ */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/base/random.h"
+#include "common/flow/flow_director.h"
+#include "common/flow/placement_options.h"
+#include "common/flow/token_hosts.h"
+
+namespace umberhold {
+
+/** Not thread safe. */
+class FlowPlacement {
+ public:
+  /** @param zone this node's. @param random borrowed; must outlive the object. */
+  FlowPlacement(std::string zone, PlacementOptions options, RandomSource& random);
+
+  /**
+   * @param avoided token of a host that left an earlier copy of the opening unanswered; 0: none.
+   * @return the host; nullptr where none may take a flow. evidence() says what decided.
+   */
+  TokenHost* place(TimePoint now, const TokenPool& pool, uint32_t avoided);
+  /** @return whether the host answers far later than its pool's median. */
+  bool isSlow(TimePoint now, const TokenPool& pool, const TokenHost& host);
+  /** @return what decided the last placement; fields that a pool doesn't know are left alone. */
+  PlacementEvidence& evidence() { return evidence_; }
+
+ private:
+  /** A host that may take the flow. */
+  struct Candidate {
+    TokenHost* host = nullptr;
+    bool otherZone = false;
+    bool silent = false;
+    /** The host left an earlier copy of this opening unanswered. */
+    bool avoided = false;
+    bool vanished = false;
+    bool slow = false;
+    /** Answers of late, as a multiple of the pool's median. */
+    double slowness = 1.0;
+    /** Load for its weight, the new flow included. */
+    double load = 0.0;
+
+    /** @return whether other hosts come first, whatever their load and zone. */
+    bool isPoor() const { return silent || avoided || slow || vanished; }
+    /** @return the order of preference, lower first. @param leavesZone hosts of the own zone come
+     * after others. */
+    double rank(bool leavesZone) const;
+  };
+
+  /** Fills candidates_. */
+  void collect(TimePoint now, const TokenPool& pool, uint32_t avoided);
+  void weighTimes(TimePoint now);
+  /** @return the median of the times in times_, the lower one of an even number; 1 where none is.
+   */
+  double medianTime();
+  /**
+   * @return part of the new flows that stay in this node's zone: all of them, or fewer where it has
+   * clearly less than an equal share of the pool's good hosts, or where they answer later than
+   * those of other zones. Zones are taken to have equal traffic.
+   */
+  double ownZonePart(TimePoint now, const TokenPool& pool) const;
+  double partByTimes(TimePoint now, const TokenPool& pool,
+                     const std::vector<std::string_view>& otherZones) const;
+  const Candidate* best();
+  void noteEvidence(TimePoint now, const TokenPool& pool, const Candidate& chosen);
+
+  const std::string zone_;
+  const PlacementOptions options_;
+  RandomSource& random_;
+  PlacementEvidence evidence_;
+  /** Kept between calls for its memory. */
+  std::vector<Candidate> candidates_;
+  std::vector<double> times_;
+};
+
+}  // namespace umberhold
--- a/source/common/flow/flow_progress.cc
+++ b/source/common/flow/flow_progress.cc
@@ -1,5 +1,7 @@
 #include "common/flow/flow_progress.h"
 
+#include "common/flow/sequence_number.h"
+
 namespace umberhold {
 namespace {
 
@@ -9,11 +11,6 @@
  */
 constexpr Duration kShortestRepeat = std::chrono::milliseconds(150);
 
-/** @return whether a sequence number comes after another, which may have wrapped around. */
-bool isAfter(uint32_t left, uint32_t right) {
-  return static_cast<int32_t>(left - right) > 0;
-}
-
 }  // namespace
 
 PacketProgress FlowProgress::begin(TimePoint now, const FlowPacket& packet, Entry& entry) const {
--- a/source/common/flow/host_estimate.h
+++ b/source/common/flow/host_estimate.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "common/base/time.h"
+#include "common/flow/response_score.h"
 
 namespace umberhold {
 
@@ -30,6 +31,12 @@
     silentUntil_ = TimePoint{};
   }
 
+  /** A request ended, or waits beyond all measure. @param ratio its time as a multiple of the
+   * service's usual time. */
+  void onResponse(TimePoint now, double ratio) { responses_.add(now, ratio); }
+
+  /** @return answers of late, as a multiple of the usual time; 1 where nothing is known. */
+  double responseScore(TimePoint now) const { return responses_.value(now); }
   /** @return packets of late, each weighed by its age. */
   double load(TimePoint now) const { return load_ * decay(now); }
   /**
@@ -60,11 +67,15 @@
     at_ = std::max(now, at_);
   }
 
+  /** Weight of a new sample: two of the worst are needed to take a host for slow. */
+  static constexpr double kSamplePart = 0.25;
+
   double load_ = 0.0;
   TimePoint at_{};
   uint32_t unanswered_ = 0;
   TimePoint answeredAt_{};
   TimePoint silentUntil_{};
+  ResponseScore responses_{kSamplePart};
 };
 
 }  // namespace umberhold
--- /dev/null
+++ b/source/common/flow/placement_options.h
@@ -0,0 +1,24 @@
+/** @file How hosts of a pool are compared for a new flow (flow/flow_placement.h). */
+#pragma once
+
+namespace umberhold {
+
+/** Limits of a placement. A ratio that no host reaches switches its mechanism off. */
+struct PlacementOptions {
+  /** Hosts of the node's own zone come before others. */
+  bool prefersOwnZone = true;
+  /**
+   * A host that answers so many times later than its pool's median takes flows only where no other
+   * can. Well hosts stay below 2 (work times with a spread of 0.5, samples weighed by a quarter).
+   */
+  double slowHostRatio = 2.2;
+  /** A host's load is scaled up from so many times the median on. */
+  double weighedRatio = 1.2;
+  /** The own zone's hosts answer so many times later than those of other zones: a part of the flows
+   * leaves. Hosts that are used to 70% answer 1.3 times later than idle ones (M/M/3). */
+  double zoneLeavesRatio = 1.3;
+
+  bool operator==(const PlacementOptions&) const = default;
+};
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/flow/request_timer.cc
@@ -0,0 +1,84 @@
+#include "common/flow/request_timer.h"
+
+#include "common/flow/sequence_number.h"
+
+namespace umberhold {
+namespace {
+
+/** Beyond so many requests, those that begin are timed but never become overdue. */
+constexpr size_t kMostDue = 4096;
+
+}  // namespace
+
+std::optional<Duration> RequestTimer::note(TimePoint now, const FlowPacket& packet,
+                                           std::optional<Duration> patience) {
+  const size_t index = packet.hash.value % entries_.size();
+  Entry& entry = entries_[index];
+  const bool isKnown = entry.flow == packet.hash && entry.token == packet.token;
+  if (isKnown && entry.underWay && isAfter(packet.acknowledged, entry.acknowledged)) {
+    const std::optional<Duration> response = end(now, packet, entry);
+    if (packet.dataBytes > 0) {
+      begin(now, packet, patience, index);
+    }
+    return response;
+  }
+  if (isKnown && entry.underWay) {
+    if (packet.phase == PacketPhase::kClosing || packet.phase == PacketPhase::kReset) {
+      entry.underWay = false;
+    } else if (packet.dataBytes > 0 && packet.sequence == entry.endSequence) {
+      entry.endSequence += packet.dataBytes;
+    } else if (packet.dataBytes > 0) {
+      entry.repeated = true;
+    }
+    return std::nullopt;
+  }
+  const bool isRequest = packet.dataBytes > 0 && packet.phase == PacketPhase::kContinuing;
+  const bool isCopy = isKnown && !isAfter(packet.sequence, entry.sequence);
+  if (isRequest && !isCopy) {
+    begin(now, packet, patience, index);
+  }
+  return std::nullopt;
+}
+
+void RequestTimer::begin(TimePoint now, const FlowPacket& packet, std::optional<Duration> patience,
+                         size_t index) {
+  Entry& entry = entries_[index];
+  entry = Entry{};
+  entry.flow = packet.hash;
+  entry.service = packet.service;
+  entry.token = packet.token;
+  entry.sequence = packet.sequence;
+  entry.endSequence = packet.sequence + packet.dataBytes;
+  entry.acknowledged = packet.acknowledged;
+  entry.underWay = true;
+  entry.beganAt = now;
+  entry.caughtUp = caughtUp_;
+  if (patience && due_.size() < kMostDue) {
+    due_.push({now + *patience, now, index});
+  }
+}
+
+std::optional<Duration> RequestTimer::end(TimePoint now, const FlowPacket& packet,
+                                          Entry& entry) const {
+  entry.underWay = false;
+  const bool isTold = packet.dataBytes == 0 && !entry.repeated &&
+                      packet.sequence == entry.endSequence && entry.caughtUp != caughtUp_;
+  return isTold ? std::optional(now - entry.beganAt) : std::nullopt;
+}
+
+std::vector<OverdueRequest> RequestTimer::onCaughtUp(TimePoint now) {
+  ++caughtUp_;
+  std::vector<OverdueRequest> overdue;
+  while (!due_.empty() && due_.top().at <= now) {
+    const Due due = due_.top();
+    due_.pop();
+    Entry& entry = entries_[due.index];
+    if (entry.underWay && entry.beganAt == due.beganAt) {
+      entry.underWay = false;
+      overdue.push_back({entry.service, entry.token, now - entry.beganAt});
+    }
+  }
+  return overdue;
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/flow/response_score.h
@@ -0,0 +1,103 @@
+/** @file How long answers take, compared with what is usual: running figures of a service and of a
+ * host. */
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <optional>
+
+#include "common/base/time.h"
+
+namespace umberhold {
+
+/**
+ * A host's or a zone's answers of late, as a multiple of the usual time: a moving average over
+ * samples that fades towards 1, so that what is not tried for a while counts as usual again. Not
+ * thread safe.
+ */
+class ResponseScore {
+ public:
+  /** A sample counts for no more: a single request neither ejects a host nor outweighs many. */
+  static constexpr double kHighestSample = 5.0;
+
+  /** @param part weight of a new sample against all earlier ones, 0 to 1. */
+  explicit ResponseScore(double part) : part_(part) {}
+
+  /** @param ratio an answer's time as a multiple of the usual one. */
+  void add(TimePoint now, double ratio) {
+    const double before = value(now);
+    value_ = before + part_ * (std::min(ratio, kHighestSample) - before);
+    at_ = std::max(now, at_);
+  }
+  /** @return a multiple of the usual time; 1 where nothing is known. */
+  double value(TimePoint now) const {
+    const auto age = std::max(now - at_, Duration{0});
+    const double halvings =
+        static_cast<double>(age.count()) / static_cast<double>(kHalfLife.count());
+    return 1.0 + (value_ - 1.0) * std::exp2(-halvings);
+  }
+
+ private:
+  /** A host of the worst score is tried again after about two of these. */
+  static constexpr Duration kHalfLife = std::chrono::milliseconds(1200);
+
+  double part_;
+  double value_ = 1.0;
+  TimePoint at_{};
+};
+
+/**
+ * The usual time of a service's answers: a running median over all hosts. It follows lasting
+ * changes and hardly moves in a burst of a few seconds. Not thread safe.
+ */
+class UsualResponseTime {
+ public:
+  void add(TimePoint now, Duration response) {
+    const double sample = std::log(millisecondsOf(response));
+    const double seconds = std::chrono::duration<double>(now - at_).count();
+    const double drift = kDriftPerSecond * std::clamp(seconds, 0.0, 1.0);
+    at_ = now;
+    ++samples_;
+    if (samples_ == 1) {
+      median_ = sample;
+    }
+    const double step = samples_ < kWarmUpSamples ? 1.0 / samples_ : drift;
+    median_ += std::clamp(sample - median_, -step, step);
+  }
+  /** @return the response as a multiple of the usual time; nothing before enough is known. */
+  std::optional<double> ratioOf(Duration response) const {
+    if (samples_ < kEnoughSamples) {
+      return std::nullopt;
+    }
+    return millisecondsOf(response) / std::exp(median_);
+  }
+  /** @return when a request has waited `ratio` times as long as usual. */
+  std::optional<Duration> timeOf(double ratio) const {
+    if (samples_ < kEnoughSamples) {
+      return std::nullopt;
+    }
+    const double milliseconds = std::exp(median_) * ratio - kSlackMilliseconds;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+  }
+
+ private:
+  static double millisecondsOf(Duration response) {
+    return std::chrono::duration<double, std::milli>(response).count() + kSlackMilliseconds;
+  }
+
+  /** Is added to all times: differences of a few milliseconds tell of the network. */
+  static constexpr double kSlackMilliseconds = 20.0;
+  /** The median moves by at most this part of itself in a second, once it is known. */
+  static constexpr double kDriftPerSecond = 0.05;
+  static constexpr uint32_t kWarmUpSamples = 16;
+  static constexpr uint32_t kEnoughSamples = 5;
+
+  /** Natural logarithm of milliseconds. */
+  double median_ = 0.0;
+  uint32_t samples_ = 0;
+  TimePoint at_{};
+};
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/flow/token_hosts.cc
@@ -0,0 +1,152 @@
+#include "common/flow/token_hosts.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+#include "common/base/hash.h"
+
+namespace umberhold {
+namespace {
+
+constexpr unsigned kTokenShift = 32;
+
+}  // namespace
+
+std::string_view toString(HostChangeKind kind) {
+  switch (kind) {
+    case HostChangeKind::kAdded:
+      return "added";
+    case HostChangeKind::kDraining:
+      return "draining";
+    case HostChangeKind::kActive:
+      return "active";
+    case HostChangeKind::kLeft:
+      return "left";
+  }
+  return "unknown";
+}
+
+uint32_t flowTokenOf(uint64_t incarnation) {
+  const auto token = static_cast<uint32_t>(mixHash(incarnation, 0) >> kTokenShift);
+  return token == 0 ? 1 : token;
+}
+
+double TokenPool::zoneScore(TimePoint now, std::string_view zone) const {
+  const auto found = zones.find(zone);
+  return found == zones.end() ? 1.0 : found->second.value(now);
+}
+
+std::vector<HostChange> TokenHosts::setPool(TimePoint now, const HostPool& pool, uint64_t version) {
+  std::vector<HostChange> changes;
+  TokenPool& entry = pools_[pool.name];
+  entry.version = version;
+  entry.appliedAt = now;
+  for (const HostSpec& spec : pool.hosts) {
+    admit(now, pool.name, spec, changes);
+  }
+  markLeft(now, pool, changes);
+  settleEnded();
+  forgetOld(now);
+  indexByPool();
+  return changes;
+}
+
+std::vector<HostChange> TokenHosts::removePool(TimePoint now, const std::string& name,
+                                               uint64_t version) {
+  std::vector<HostChange> changes = setPool(now, HostPool{name, {}}, version);
+  pools_.erase(name);
+  return changes;
+}
+
+void TokenHosts::admit(TimePoint now, const std::string& pool, const HostSpec& spec,
+                       std::vector<HostChange>& changes) {
+  const uint32_t token = flowTokenOf(spec.incarnation);
+  const auto [place, added] = hosts_.try_emplace(token);
+  TokenHost& host = place->second;
+  if (!added && host.spec.incarnation != spec.incarnation) {
+    return;  // Two incarnations with one token can't be told apart: the first one keeps it.
+  }
+  const bool drains = spec.state == HostState::kDraining;
+  if (added || !host.listed) {
+    changes.push_back({HostChangeKind::kAdded, pool, spec});
+  } else if (drains != (host.spec.state == HostState::kDraining)) {
+    changes.push_back({drains ? HostChangeKind::kDraining : HostChangeKind::kActive, pool, spec});
+  }
+  host.token = token;
+  host.spec = spec;
+  host.id = hostIdOf(serviceIdOf(pool), spec.name);
+  host.pool = pool;
+  host.listed = true;
+  host.leftAt = now;
+  if (added) {
+    host.firstSeen = now;
+  }
+}
+
+void TokenHosts::markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes) {
+  std::unordered_set<uint64_t> listed;
+  for (const HostSpec& spec : pool.hosts) {
+    listed.insert(spec.incarnation);
+  }
+  for (TokenHost* host : pools_[pool.name].hosts) {
+    if (host->listed && host->pool == pool.name && !listed.contains(host->spec.incarnation)) {
+      host->listed = false;
+      host->leftAt = now;
+      changes.push_back({HostChangeKind::kLeft, pool.name, host->spec});
+    }
+  }
+}
+
+void TokenHosts::settleEnded() {
+  std::unordered_map<Endpoint, TimePoint> newest;
+  for (const auto& [token, host] : hosts_) {
+    if (host.isActive()) {
+      TimePoint& seen = newest[host.spec.endpoint];
+      seen = std::max(seen, host.firstSeen);
+    }
+  }
+  for (auto& [token, host] : hosts_) {
+    const auto other = host.isActive() ? newest.end() : newest.find(host.spec.endpoint);
+    host.ended = other != newest.end() && other->second > host.firstSeen;
+  }
+}
+
+void TokenHosts::forgetOld(TimePoint now) {
+  std::erase_if(hosts_, [this, now](const auto& named) {
+    return !named.second.listed && now - named.second.leftAt > flowLife_;
+  });
+}
+
+void TokenHosts::indexByPool() {
+  for (auto& [name, pool] : pools_) {
+    pool.hosts.clear();
+  }
+  for (auto& [token, host] : hosts_) {
+    const auto pool = pools_.find(host.pool);
+    if (pool != pools_.end()) {
+      pool->second.hosts.push_back(&host);
+    }
+  }
+}
+
+TokenHost* TokenHosts::find(uint32_t token) {
+  const auto place = hosts_.find(token);
+  return place == hosts_.end() ? nullptr : &place->second;
+}
+
+TokenPool* TokenHosts::findPool(const std::string& name) {
+  const auto place = pools_.find(name);
+  return place == pools_.end() ? nullptr : &place->second;
+}
+
+const TokenPool* TokenHosts::findPool(const std::string& name) const {
+  const auto place = pools_.find(name);
+  return place == pools_.end() ? nullptr : &place->second;
+}
+
+size_t TokenHosts::listedCount() const {
+  return static_cast<size_t>(std::count_if(hosts_.begin(), hosts_.end(),
+                                           [](const auto& entry) { return entry.second.listed; }));
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/flow/token_hosts.h
@@ -0,0 +1,126 @@
+/**
+ * @file The hosts that flow tokens name, and the pools that list them.
+ *
+ * A host that its pool no longer lists is remembered for the longest life of a flow, since its open
+ * flows go on.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/base/strong_id.h"
+#include "common/base/time.h"
+#include "common/config/service.h"
+#include "common/flow/host_estimate.h"
+#include "common/flow/response_score.h"
+
+namespace umberhold {
+
+/** @return the flow token of a host's incarnation; the same on every node, never 0. */
+uint32_t flowTokenOf(uint64_t incarnation);
+
+/** What became of a host with a change of its pool. */
+enum class HostChangeKind : uint8_t {
+  /** New, or back after it had left. */
+  kAdded,
+  /** It takes no new flows any more; open ones go on. */
+  kDraining,
+  /** It was draining and takes new flows again. */
+  kActive,
+  /** No pool lists it any more; its open flows go on. */
+  kLeft,
+};
+
+/** @return the snake_case name of a kind. */
+std::string_view toString(HostChangeKind kind);
+
+/** One host's change, for logs. */
+struct HostChange {
+  HostChangeKind kind = HostChangeKind::kAdded;
+  std::string pool;
+  HostSpec host;
+};
+
+/** A host, listed or not. */
+struct TokenHost {
+  uint32_t token = 0;
+  HostSpec spec;
+  HostId id;
+  std::string pool;
+  /** Whether the pool lists it now. */
+  bool listed = true;
+  /** When it was last listed; meaningful while it isn't. */
+  TimePoint leftAt{};
+  /** When a pool first listed it; hosts of one list have one instant. */
+  TimePoint firstSeen{};
+  /** It left, and a host that appeared later has its endpoint: this incarnation has ended. */
+  bool ended = false;
+  /** It answered far later than its pool's median when last looked at. */
+  bool slow = false;
+  HostEstimate estimate;
+
+  bool isActive() const { return listed && spec.state == HostState::kActive; }
+};
+
+/** Weight of a new sample in a zone's score, which many hosts feed. */
+constexpr double kZoneSamplePart = 0.125;
+
+/** A pool's hosts. */
+struct TokenPool {
+  /** All that it lists, and those that left and are still remembered. Borrowed from TokenHosts. */
+  std::vector<TokenHost*> hosts;
+  /** Answers of late by zone, of the hosts that aren't slow themselves. */
+  std::map<std::string, ResponseScore, std::less<>> zones;
+  /** Version of the catalogue that the pool is from, and when this node applied it. */
+  uint64_t version = 0;
+  TimePoint appliedAt{};
+
+  /** @return the score of a zone; a usual one where nothing is known. */
+  double zoneScore(TimePoint now, std::string_view zone) const;
+};
+
+/** Not thread safe. */
+class TokenHosts {
+ public:
+  /** @param flowLife how long hosts that left are remembered. */
+  explicit TokenHosts(Duration flowLife) : flowLife_(flowLife) {}
+
+  /**
+   * Adds or replaces a pool, by name; hosts that it no longer lists keep their open flows.
+   * @param version of the catalogue that the pool is from; it is told as evidence only.
+   * @return what changed for its hosts.
+   */
+  std::vector<HostChange> setPool(TimePoint now, const HostPool& pool, uint64_t version);
+  std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version);
+  void setFlowLife(Duration flowLife) { flowLife_ = flowLife; }
+
+  /** @return the host that a token names; nullptr where none does. Valid until the next change. */
+  TokenHost* find(uint32_t token);
+  /** @return the pool; nullptr where it has not arrived. Valid until the next change. */
+  TokenPool* findPool(const std::string& name);
+  const TokenPool* findPool(const std::string& name) const;
+  /** @return hosts that some pool lists. */
+  size_t listedCount() const;
+
+ private:
+  void admit(TimePoint now, const std::string& pool, const HostSpec& spec,
+             std::vector<HostChange>& changes);
+  /** Marks those that the new list lacks. */
+  void markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes);
+  /** Finds the hosts that have surely ended; of two hosts in one list neither is surely older. */
+  void settleEnded();
+  void forgetOld(TimePoint now);
+  /** Makes the pools' lists of hosts anew. */
+  void indexByPool();
+
+  Duration flowLife_;
+  std::unordered_map<uint32_t, TokenHost> hosts_;
+  std::unordered_map<std::string, TokenPool> pools_;
+};
+
+}  // namespace umberhold
--- a/source/common/server/flow_log.cc
+++ b/source/common/server/flow_log.cc
@@ -69,8 +69,10 @@
   const PlacementEvidence& evidence = text.evidence;
   return out << " zone=" << (evidence.ownZone ? "own" : "other")
              << " leaves_zone=" << evidence.leavesZone << " silent=" << evidence.silent
-             << " vanished=" << evidence.vanished << " load=" << std::fixed << std::setprecision(1)
-             << evidence.load << " weight=" << evidence.weight
+             << " vanished=" << evidence.vanished << " slow=" << evidence.slow
+             << " slowness=" << std::fixed << std::setprecision(1) << evidence.slowness
+             << " zone_score=" << evidence.zoneScore << " load=" << std::fixed
+             << std::setprecision(1) << evidence.load << " weight=" << evidence.weight
              << " candidates=" << evidence.candidates << " catalogue=" << evidence.poolVersion
              << " age_ms=" << millisecondsOf(text.now - evidence.poolAppliedAt);
 }
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -53,7 +53,7 @@
 }
 
 TokenOptions optionsOf(const TokenNodeSettings& settings) {
-  return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds)};
+  return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds), settings.placement};
 }
 
 }  // namespace
@@ -92,10 +92,21 @@
         now = done;
       });
     }
-    director.onCaughtUp();
+    director.onCaughtUp(steadyNow());
+    logPaces();
     flushLog();
   }
 
+  void logPaces() {
+    for (const HostPace& pace : director.takePaceChanges()) {
+      if (flowLog.admit(steadyNow(), LineKind::kBelief)) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO)
+            << "event=host_" << (pace.slow ? "slow" : "usual") << " pool=" << pace.pool
+            << " host=" << pace.host << " times_usual=" << pace.score;
+      }
+    }
+  }
+
   void flushLog() {
     if (hooks.log == nullptr) {
       return;
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -15,6 +15,8 @@
 /** Cores. */
 constexpr double kMostCapacity = 1024.0;
 constexpr int64_t kLongestBoundMilliseconds = 60000;
+/** Beyond every ratio of answers' times. */
+constexpr double kHighestRatio = 1000.0;
 
 /** Takes values out of a table; keeps the first fault. */
 class TableReader {
@@ -166,6 +168,11 @@
                   kLongestBoundMilliseconds);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kLongestFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kLongestLingerMilliseconds);
+    PlacementOptions& placement = settings.placement;
+    reader.flag("prefer_own_zone", placement.prefersOwnZone);
+    reader.fraction("slow_host_ratio", placement.slowHostRatio, kHighestRatio);
+    reader.fraction("weighed_ratio", placement.weighedRatio, kHighestRatio);
+    reader.fraction("zone_leaves_ratio", placement.zoneLeavesRatio, kHighestRatio);
     reader.refuseOtherKeys();
     if (reader.error()) {
       return *reader.error();
@@ -204,6 +211,15 @@
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
   compare("linger_milliseconds", &S::lingerMilliseconds, true);
+  const auto comparePlacement = [&](const char* key, auto member) {
+    if (before.placement.*member != after.placement.*member) {
+      changes.push_back({key, false});
+    }
+  };
+  comparePlacement("prefer_own_zone", &PlacementOptions::prefersOwnZone);
+  comparePlacement("slow_host_ratio", &PlacementOptions::slowHostRatio);
+  comparePlacement("weighed_ratio", &PlacementOptions::weighedRatio);
+  comparePlacement("zone_leaves_ratio", &PlacementOptions::zoneLeavesRatio);
   return changes;
 }
 
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -8,6 +8,7 @@
 
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
+#include "common/flow/placement_options.h"
 #include "common/settings/settings.h"
 
 namespace umberhold {
@@ -47,6 +48,8 @@
   uint32_t flowLifeSeconds = 60;
   /** How long packets are still forwarded after SIGTERM, milliseconds. */
   uint32_t lingerMilliseconds = 2500;
+  /** How hosts of a pool are compared for a new flow. */
+  PlacementOptions placement{};
 };
 
 /** A key whose value differs between two settings. */
--- /dev/null
+++ b/test/common/flow/flow_placement_test.cc
@@ -0,0 +1,163 @@
+/** @file New flows avoid hosts and zones that answer late. */
+#include "common/flow/flow_placement.h"
+
+#include <map>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+HostSpec makeHost(uint64_t number, const std::string& zone) {
+  HostSpec host;
+  host.name = "h-" + std::to_string(number);
+  host.endpoint = {0x0A800000 + static_cast<uint32_t>(number), 8080};
+  host.zone = zone;
+  host.incarnation = number;
+  return host;
+}
+
+}  // namespace
+
+TEST_GROUP(FlowPlacement) {
+  RandomSource random{11};
+  TimePoint now{seconds(1000)};
+  TokenHosts hosts{seconds(60)};
+  PlacementOptions options;
+
+  /** Hosts 1 to `own` are in bole, the next ones in piassa. */
+  void setHosts(uint64_t own, uint64_t other) {
+    std::vector<HostSpec> listed;
+    for (uint64_t number = 1; number <= own + other; ++number) {
+      listed.push_back(makeHost(number, number <= own ? "bole" : "piassa"));
+    }
+    hosts.setPool(now, {"dispatch", listed}, 1);
+  }
+  TokenHost& host(uint64_t number) { return *hosts.find(flowTokenOf(number)); }
+  void answer(uint64_t number, double ratio, int count = 12) {
+    for (int index = 0; index < count; ++index) {
+      host(number).estimate.onResponse(now, ratio);
+    }
+  }
+  void scoreZone(const std::string& zone, double ratio) {
+    ResponseScore& score = hosts.findPool("dispatch")
+                               ->zones.try_emplace(zone, kZoneSamplePart)
+                               .first->second;
+    for (int index = 0; index < 50; ++index) {
+      score.add(now, ratio);
+    }
+  }
+  /** @return flows by incarnation. */
+  std::map<uint64_t, int> place(int count) {
+    FlowPlacement placement("bole", options, random);
+    std::map<uint64_t, int> placed;
+    for (int index = 0; index < count; ++index) {
+      TokenHost* chosen = placement.place(now, *hosts.findPool("dispatch"), 0);
+      chosen->estimate.onOpening(now);
+      ++placed[chosen->spec.incarnation];
+    }
+    return placed;
+  }
+};
+
+TEST(FlowPlacement, GivesNoNewFlowToAHostThatAnswersFarLaterThanTheOthers) {
+  setHosts(5, 0);
+  answer(1, 5.0);
+  for (uint64_t number = 2; number <= 5; ++number) {
+    answer(number, 1.0);
+  }
+  const auto placed = place(100);
+  CHECK_FALSE(placed.contains(1));
+  LONGS_EQUAL(25, placed.at(2));
+}
+
+TEST(FlowPlacement, ScalesTheLoadOfHostsThatAnswerSomewhatLater) {
+  setHosts(5, 0);
+  answer(1, 1.7);
+  const auto placed = place(1000);
+  CHECK_TRUE(placed.at(1) > 50);
+  CHECK_TRUE(placed.at(1) < placed.at(2) * 6 / 10);
+}
+
+TEST(FlowPlacement, DoesNotWeighTheUsualSpreadOfTimes) {
+  setHosts(5, 0);
+  answer(1, 1.15);
+  answer(2, 0.9);
+  const auto placed = place(1000);
+  LONGS_EQUAL(200, placed.at(1));
+  LONGS_EQUAL(200, placed.at(2));
+}
+
+TEST(FlowPlacement, TriesASlowHostAgainAfterAWhileWithoutSamples) {
+  setHosts(5, 0);
+  answer(1, 5.0);
+  now += seconds(3);
+  CHECK_TRUE(place(100).contains(1));
+}
+
+TEST(FlowPlacement, KeepsAPoolOfTwoHostsWorking) {
+  setHosts(2, 0);
+  answer(1, 5.0);
+  LONGS_EQUAL(50, place(50).at(2));
+  answer(2, 5.0, 30);
+  CHECK_TRUE(place(50).contains(1));
+}
+
+TEST(FlowPlacement, EjectsNobodyWhereAllAnswerLate) {
+  setHosts(5, 0);
+  for (uint64_t number = 1; number <= 5; ++number) {
+    answer(number, 5.0);
+  }
+  const auto placed = place(100);
+  for (uint64_t number = 1; number <= 5; ++number) {
+    LONGS_EQUAL(20, placed.at(number));
+  }
+}
+
+TEST(FlowPlacement, PrefersAnUsualHostOfAnotherZoneToASlowOneOfItsOwn) {
+  setHosts(1, 3);
+  answer(1, 5.0);
+  CHECK_FALSE(place(30).contains(1));
+}
+
+TEST(FlowPlacement, StaysInItsZoneWhileItAnswersAsUsual) {
+  setHosts(3, 3);
+  scoreZone("bole", 1.25);
+  const auto placed = place(300);
+  LONGS_EQUAL(3, placed.size());
+  CHECK_TRUE(placed.contains(1));
+}
+
+TEST(FlowPlacement, SendsAPartOfTheFlowsAwayFromAZoneThatAnswersLate) {
+  setHosts(3, 3);
+  scoreZone("bole", 2.0);
+  auto placed = place(1000);
+  const int stayed = placed[1] + placed[2] + placed[3];
+  CHECK_TRUE(stayed > 300);
+  CHECK_TRUE(stayed < 550);
+}
+
+TEST(FlowPlacement, StaysInItsZoneWhereAllZonesAnswerLate) {
+  setHosts(3, 3);
+  scoreZone("bole", 3.0);
+  scoreZone("piassa", 3.0);
+  auto placed = place(300);
+  LONGS_EQUAL(300, placed[1] + placed[2] + placed[3]);
+}
+
+TEST(FlowPlacement, EachMechanismCanBeSwitchedOff) {
+  options = {false, 1000.0, 1000.0, 1000.0};
+  setHosts(3, 3);
+  answer(1, 5.0);
+  scoreZone("bole", 5.0);
+  const auto placed = place(600);
+  for (uint64_t number = 1; number <= 6; ++number) {
+    LONGS_EQUAL(100, placed.at(number));
+  }
+}
+
+}  // namespace umberhold
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/flow/token_director_test.cc
@@ -66,14 +66,16 @@
     made.sequence = sequence;
     made.dataBytes = 100;
     const FlowDecision decision = director.decide(now, made, "");
-    director.onCaughtUp();
+    director.onCaughtUp(now);
     return decision;
   }
-  void acknowledge(uint64_t flow, uint32_t token, uint32_t acknowledged) {
+  /** @param sequence what follows the caller's data. */
+  void acknowledge(uint64_t flow, uint32_t token, uint32_t acknowledged, uint32_t sequence = 0) {
     FlowPacket made = packet(PacketPhase::kContinuing, flow, token);
+    made.sequence = sequence;
     made.acknowledged = acknowledged;
     director.decide(now, made, "");
-    director.onCaughtUp();
+    director.onCaughtUp(now);
   }
   /** Sends the data and its copies as a caller does. @return what became of the last. */
   FlowDecision sendCopies(uint64_t flow, uint32_t token, uint32_t copies) {
@@ -332,4 +334,42 @@
   CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 6)));
 }
 
+TEST(TokenDirector, PlacesNoNewFlowAtAHostWhoseAnswersComeFarTooLate) {
+  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
+  const auto serve = [this](uint64_t incarnation, milliseconds answerTime) {
+    const uint32_t token = flowTokenOf(incarnation);
+    data(++flows, token, 100);
+    now += answerTime;
+    acknowledge(flows, token, 1, 200);
+  };
+  for (int round = 0; round < 10; ++round) {
+    serve(1, milliseconds(round < 5 ? 50 : 600));
+    serve(2, milliseconds(50));
+    serve(3, milliseconds(50));
+  }
+  LONGS_EQUAL(1, director.takePaceChanges().size());
+  std::map<uint64_t, int> placed;
+  for (int index = 0; index < 30; ++index) {
+    ++placed[hostOf(open(++flows))];
+  }
+  LONGS_EQUAL(0, placed[1]);
+}
+
+TEST(TokenDirector, KeepsWhatIsUsualAcrossConfigurations) {
+  serveRepeatable();
+  const uint32_t token = flowTokenOf(1);
+  for (int index = 0; index < 6; ++index) {
+    data(++flows, token, 100);
+    now += milliseconds(50);
+    acknowledge(flows, token, 1, 200);
+  }
+  serveRepeatable();
+  for (int index = 0; index < 3; ++index) {
+    data(++flows, token, 100);
+    now += milliseconds(900);
+    acknowledge(flows, token, 1, 200);
+  }
+  LONGS_EQUAL(1, director.takePaceChanges().size());
+}
+
 }  // namespace umberhold
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -25,6 +25,10 @@
 drain_bound_milliseconds = 4000
 flow_life_seconds = 90
 linger_milliseconds = 3000
+prefer_own_zone = false
+slow_host_ratio = 4.0
+weighed_ratio = 1.5
+zone_leaves_ratio = 1000
 )";
 
 std::string with(const std::string& from, const std::string& to) {
@@ -48,6 +52,7 @@
   const auto settings = parseTokenNodeSettings(kComplete);
   CHECK_TRUE(isOk(settings));
   const TokenNodeSettings& read = valueOf(settings);
+  CHECK_TRUE(read.placement == (PlacementOptions{false, 4.0, 1.5, 1000.0}));
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
   STRCMP_EQUAL("bole", read.zone.c_str());
--- a/test/platform/packet/flow_log_test.cc
+++ b/test/platform/packet/flow_log_test.cc
@@ -113,6 +113,8 @@
   checkLast(
       "event=flow_placed flow=100.64.0.7:40001>198.18.0.1:8000 service=pickup pool=dispatch "
       "host=h-1 endpoint=10.128.0.1:8080 avoided=- zone=own leaves_zone=0 silent=0 vanished=0 "
+      "slow=0 "
+      "slowness=1.0 zone_score=1.0 "
       "load=0.0 weight=100 candidates=2 catalogue=57 age_ms=1200");
   LONGS_EQUAL(1, log.counters().openedByPool.at("dispatch").ownZone);
 }
