Share what nodes of a zone see of hosts with their reader's polls

Ruled out: objects in the store (beyond its rate, priced), gossip over zones (bytes between zones are priced; a zone sees enough). Change: a node's question to its zone's reader carries what it saw of hosts; the answer names those that the zone's nodes together see answering late, without the highest reporter, so that one wrong node ejects nobody (the first way, a plain mean, failed that test). Scores fade with a half-life of 2.5 s instead of 1.2. Errors that come at once are not seen, load is not shared.

--- a/source/common/flow/host_estimate.h
+++ b/source/common/flow/host_estimate.h
@@ -35,8 +35,18 @@
    * service's usual time. */
   void onResponse(TimePoint now, double ratio) { responses_.add(now, ratio); }
 
-  /** @return answers of late, as a multiple of the usual time; 1 where nothing is known. */
-  double responseScore(TimePoint now) const { return responses_.value(now); }
+  /** The nodes of a zone together say so. @param score a multiple of the usual time, as of `at`. */
+  void onShared(TimePoint at, double score) { shared_.set(at, score); }
+
+  /**
+   * @return answers of late, as a multiple of the usual time; 1 where nothing is known. What others
+   * say counts the less, the more samples of its own this node has.
+   */
+  double responseScore(TimePoint now) const {
+    const double own = responses_.value(now);
+    const double known = std::min(1.0, responses_.samples(now) / kEnoughSamples);
+    return known * own + (1.0 - known) * std::max(own, shared_.value(now));
+  }
   /** @return packets of late, each weighed by its age. */
   double load(TimePoint now) const { return load_ * decay(now); }
   /**
@@ -69,6 +79,8 @@
 
   /** Weight of a new sample: two of the worst are needed to take a host for slow. */
   static constexpr double kSamplePart = 0.25;
+  /** Own samples of late beyond which others aren't heard. */
+  static constexpr double kEnoughSamples = 3.0;
 
   double load_ = 0.0;
   TimePoint at_{};
@@ -76,6 +88,7 @@
   TimePoint answeredAt_{};
   TimePoint silentUntil_{};
   ResponseScore responses_{kSamplePart};
+  ResponseScore shared_{1.0};
 };
 
 }  // namespace umberhold
--- a/source/common/flow/request_timer.h
+++ b/source/common/flow/request_timer.h
@@ -42,9 +42,9 @@
    * never is.
    * @return the time from the request's first packet to the answer, where this packet tells it. Not
    * told: requests whose data was sent again (a packet was lost, or its host is silent), whose
-   * answer is acknowledged only together with the next request (the caller paused in between), those
-   * of which a part or a later request passed another node, and those that were handled in one go
-   * with their answer (this node is behind).
+   * answer is acknowledged only together with the next request (the caller paused in between),
+   * those of which a part or a later request passed another node, and those that were handled in
+   * one go with their answer (this node is behind).
    */
   std::optional<Duration> note(TimePoint now, const FlowPacket& packet,
                                std::optional<Duration> patience);
--- a/source/common/flow/response_score.h
+++ b/source/common/flow/response_score.h
@@ -27,23 +27,33 @@
   /** @param ratio an answer's time as a multiple of the usual one. */
   void add(TimePoint now, double ratio) {
     const double before = value(now);
+    samples_ = samples(now) + 1.0;
     value_ = before + part_ * (std::min(ratio, kHighestSample) - before);
     at_ = std::max(now, at_);
   }
+  /** Takes over a value in place of samples. @param at may lie in the past. */
+  void set(TimePoint at, double value) {
+    value_ = std::min(value, kHighestSample);
+    at_ = at;
+  }
   /** @return a multiple of the usual time; 1 where nothing is known. */
-  double value(TimePoint now) const {
+  double value(TimePoint now) const { return 1.0 + (value_ - 1.0) * fading(now); }
+  /** @return the number of samples, each weighed by its age. */
+  double samples(TimePoint now) const { return samples_ * fading(now); }
+
+ private:
+  double fading(TimePoint now) const {
     const auto age = std::max(now - at_, Duration{0});
-    const double halvings =
-        static_cast<double>(age.count()) / static_cast<double>(kHalfLife.count());
-    return 1.0 + (value_ - 1.0) * std::exp2(-halvings);
+    return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(kHalfLife.count()));
   }
 
- private:
-  /** A host of the worst score is tried again after about two of these. */
-  static constexpr Duration kHalfLife = std::chrono::milliseconds(1200);
+  /** A host of the worst score that has no flows is tried again after 1.7 of these; with 1.2 s the
+   * tries cost 0.004 of the worth on days with slow hosts (docs/decisions/0020). */
+  static constexpr Duration kHalfLife = std::chrono::milliseconds(2500);
 
   double part_;
   double value_ = 1.0;
+  double samples_ = 0.0;
   TimePoint at_{};
 };
 
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -14,6 +14,9 @@
 constexpr Duration kRepeatWindow = std::chrono::seconds(2);
 /** A flow is refused no sooner than at this copy of a packet; see HostEstimate::isDeadSince. */
 constexpr uint32_t kCopiesOfSilentHost = 3;
+constexpr double kPercent = 100.0;
+/** Samples that are kept for others; nobody takes them where the node tells nobody. */
+constexpr size_t kMostSamples = 1024;
 /** A request that waits so many times longer than usual counts as the worst sample. */
 constexpr double kOverdueRatio = ResponseScore::kHighestSample;
 
@@ -119,7 +122,7 @@
   const auto ratio = usualTime.ratioOf(*response);
   usualTime.add(now, *response);
   if (ratio) {
-    notePace(now, host, *ratio);
+    noteSample(now, host, *ratio);
   }
 }
 
@@ -130,24 +133,43 @@
     TokenHost* host = hosts_.find(request.token);
     if (service != services_.end() && host != nullptr) {
       service->second.usualTime.add(now, request.waited);
-      notePace(now, *host, kOverdueRatio);
+      noteSample(now, *host, kOverdueRatio);
     }
   }
 }
 
-void TokenDirector::notePace(TimePoint now, TokenHost& host, double ratio) {
+void TokenDirector::noteSample(TimePoint now, TokenHost& host, double ratio) {
   TokenPool* pool = hosts_.findPool(host.pool);
   if (pool == nullptr) {
     return;
   }
   host.estimate.onResponse(now, ratio);
-  const bool slow = placement_.isSlow(now, *pool, host);
+  if (samples_.size() < kMostSamples) {
+    samples_.push_back({host.token, ratio});
+  }
+  notePace(now, *pool, host);
+  if (!host.slow) {
+    pool->zones.try_emplace(host.spec.zone, kZoneSamplePart).first->second.add(now, ratio);
+  }
+}
+
+void TokenDirector::notePace(TimePoint now, const TokenPool& pool, TokenHost& host) {
+  const bool slow = placement_.isSlow(now, pool, host);
   if (slow != host.slow) {
     host.slow = slow;
     paceChanges_.push_back({host.pool, host.spec.name, slow, host.estimate.responseScore(now)});
   }
-  if (!slow) {
-    pool->zones.try_emplace(host.spec.zone, kZoneSamplePart).first->second.add(now, ratio);
+}
+
+void TokenDirector::learn(TimePoint now, const std::vector<HostStanding>& standings) {
+  for (const HostStanding& standing : standings) {
+    TokenHost* host = hosts_.find(standing.token);
+    const TokenPool* pool = host == nullptr ? nullptr : hosts_.findPool(host->pool);
+    if (pool != nullptr) {
+      host->estimate.onShared(now - std::chrono::milliseconds(standing.ageMilliseconds),
+                              standing.percentOfUsual / kPercent);
+      notePace(now, *pool, *host);
+    }
   }
 }
 
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -26,6 +26,7 @@
 #include "common/flow/response_score.h"
 #include "common/flow/service_lookup.h"
 #include "common/flow/token_hosts.h"
+#include "common/messages/peer_messages.h"
 
 namespace umberhold {
 
@@ -47,6 +48,14 @@
   double score = 1.0;
 };
 
+/** One request's time, for other nodes. */
+struct HostSample {
+  /** Flow token of the host. */
+  uint32_t token = 0;
+  /** As a multiple of the service's usual time. */
+  double ratio = 1.0;
+};
+
 /** See the file comment. Not thread safe. */
 class TokenDirector : public FlowDirector, public ServiceLookup {
  public:
@@ -80,6 +89,10 @@
   void onCaughtUp(TimePoint now);
   /** @return the hosts that became slow or usual since the last call. */
   std::vector<HostPace> takePaceChanges() { return std::exchange(paceChanges_, {}); }
+  /** @return this node's own samples since the last call. */
+  std::vector<HostSample> takeSamples() { return std::exchange(samples_, {}); }
+  /** What the nodes of the zone together say of hosts. */
+  void learn(TimePoint now, const std::vector<HostStanding>& standings);
 
   size_t serviceCount() const { return services_.size(); }
   /** @return hosts that some pool lists. */
@@ -111,7 +124,8 @@
   bool noteProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
   /** Learns from the packet how long the host took for its request. */
   void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
-  void notePace(TimePoint now, TokenHost& host, double ratio);
+  void noteSample(TimePoint now, TokenHost& host, double ratio);
+  void notePace(TimePoint now, const TokenPool& pool, TokenHost& host);
   Opening& openingOf(FlowHash flow) { return openings_[flow.value % openings_.size()]; }
   /** @return the token of the host that left an earlier copy of this opening packet unanswered; 0
    * for none. */
@@ -133,6 +147,7 @@
   FlowProgress progress_;
   RequestTimer timer_;
   std::vector<HostPace> paceChanges_;
+  std::vector<HostSample> samples_;
 };
 
 }  // namespace umberhold
--- /dev/null
+++ b/source/common/health/host_observations.cc
@@ -0,0 +1,137 @@
+#include "common/health/host_observations.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace umberhold {
+namespace {
+
+/** Reports older than this say nothing: three polls where the bound is 5 s. */
+constexpr Duration kWindow = std::chrono::seconds(3);
+/** Usual answers that every host is taken to have had besides: few reports move it little. */
+constexpr double kPriorSamples = 2.0;
+/** A host below this is not told of. */
+constexpr double kLateScore = 1.5;
+constexpr size_t kFewestReporters = 2;
+constexpr double kPercent = 100.0;
+constexpr uint32_t kHighestPercent =
+    static_cast<uint32_t>(ResponseScore::kHighestSample * kPercent);
+
+bool isValid(const HostObservation& seen) {
+  return seen.requests > 0 && seen.percentOfUsual <= kHighestPercent;
+}
+
+}  // namespace
+
+std::string_view toString(ReportOutcome outcome) {
+  switch (outcome) {
+    case ReportOutcome::kTaken:
+      return "taken";
+    case ReportOutcome::kRepeated:
+      return "repeated";
+    case ReportOutcome::kInvalid:
+      return "invalid";
+    case ReportOutcome::kMalformed:
+      return "malformed";
+    case ReportOutcome::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+void SampleGatherer::add(const std::vector<HostSample>& samples) {
+  for (const HostSample& sample : samples) {
+    if (sums_.size() >= kMostReportedHosts && !sums_.contains(sample.token)) {
+      continue;
+    }
+    Sum& sum = sums_[sample.token];
+    ++sum.requests;
+    sum.ratios += std::min(sample.ratio, ResponseScore::kHighestSample);
+  }
+}
+
+HostReport SampleGatherer::takeReport(TimePoint now) {
+  HostReport report;
+  report.reporter = reporter_;
+  report.sequence = static_cast<uint64_t>(now.time_since_epoch().count());
+  for (const auto& [token, sum] : sums_) {
+    const double mean = sum.ratios / sum.requests;
+    report.hosts.push_back(
+        {token, sum.requests, static_cast<uint32_t>(std::lround(mean * kPercent))});
+  }
+  sums_.clear();
+  return report;
+}
+
+ReportOutcome ZoneObservations::merge(TimePoint now, const HostReport& report) {
+  const bool isSane = report.hosts.size() <= kMostReportedHosts &&
+                      std::all_of(report.hosts.begin(), report.hosts.end(), isValid);
+  if (!isSane) {
+    return ReportOutcome::kInvalid;
+  }
+  forgetOld(now);
+  Reporter& reporter = reporters_[report.reporter];
+  if (report.sequence <= reporter.sequence) {
+    return ReportOutcome::kRepeated;
+  }
+  reporter = {report.sequence, now};
+  for (const HostObservation& seen : report.hosts) {
+    note(hosts_[seen.token], {report.reporter, now, seen.percentOfUsual / kPercent});
+  }
+  return ReportOutcome::kTaken;
+}
+
+void ZoneObservations::note(Observations& observations, const Observation& observation) {
+  for (Observation& earlier : observations) {
+    if (earlier.reporter == observation.reporter) {
+      earlier = observation;
+      return;
+    }
+  }
+  observations.push_back(observation);
+}
+
+void ZoneObservations::forgetOld(TimePoint now) {
+  const auto isOld = [now](const auto& entry) { return now - entry.at > kWindow; };
+  for (auto& [token, observations] : hosts_) {
+    std::erase_if(observations, isOld);
+  }
+  std::erase_if(hosts_, [](const auto& named) { return named.second.empty(); });
+  std::erase_if(reporters_, [&](const auto& named) { return isOld(named.second); });
+}
+
+double ZoneObservations::scoreOf(const Observations& observations) {
+  double sum = kPriorSamples;
+  double highest = 0.0;
+  for (const Observation& observation : observations) {
+    sum += observation.ratio;
+    highest = std::max(highest, observation.ratio);
+  }
+  const double counted = kPriorSamples + static_cast<double>(observations.size()) - 1.0;
+  return (sum - highest) / counted;
+}
+
+std::vector<HostStanding> ZoneObservations::standings(TimePoint now) {
+  forgetOld(now);
+  std::vector<HostStanding> standings;
+  for (const auto& [token, observations] : hosts_) {
+    const double score = scoreOf(observations);
+    if (observations.size() < kFewestReporters || score < kLateScore) {
+      continue;
+    }
+    const auto youngest = std::max_element(
+        observations.begin(), observations.end(),
+        [](const Observation& left, const Observation& right) { return left.at < right.at; });
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - youngest->at);
+    standings.push_back({token, static_cast<uint32_t>(std::lround(score * kPercent)),
+                         static_cast<uint32_t>(age.count())});
+  }
+  std::sort(standings.begin(), standings.end(),
+            [](const HostStanding& left, const HostStanding& right) {
+              return left.percentOfUsual > right.percentOfUsual;
+            });
+  standings.resize(std::min(standings.size(), kMostStandings));
+  return standings;
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/health/host_observations.h
@@ -0,0 +1,96 @@
+/**
+ * @file What the nodes of a zone see of hosts, put together.
+ *
+ * A node of a large fleet sees each host too seldom to judge it. So each tells the node that reads
+ * the store for its zone what it saw, and hears which hosts answer late by the sum of all
+ * (docs/decisions/0021). Decision logic without I/O.
+ */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/base/time.h"
+#include "common/flow/token_director.h"
+#include "common/messages/peer_messages.h"
+
+namespace umberhold {
+
+/** Hosts in one report, 10 bytes each; of more, those that were seen last are left out. Both bounds
+ * together keep polls of 0.6 s below 2.7 KB/s. */
+constexpr size_t kMostReportedHosts = 48;
+/** Hosts in one answer, 12 bytes each, the latest first. */
+constexpr size_t kMostStandings = 80;
+
+/** Gathers a node's own samples until its next report. Not thread safe. */
+class SampleGatherer {
+ public:
+  explicit SampleGatherer(uint64_t reporter) : reporter_(reporter) {}
+
+  void add(const std::vector<HostSample>& samples);
+  /** @param now gives the sequence number. @return what was gathered since the last report. */
+  HostReport takeReport(TimePoint now);
+
+ private:
+  struct Sum {
+    uint32_t requests = 0;
+    double ratios = 0.0;
+  };
+
+  const uint64_t reporter_;
+  std::unordered_map<uint32_t, Sum> sums_;
+};
+
+/** What became of a report. */
+enum class ReportOutcome : uint8_t {
+  kTaken,
+  /** Its sequence number is not above that of the reporter's last one. */
+  kRepeated,
+  /** More hosts than a report may hold, or figures that no node can have measured. */
+  kInvalid,
+  /** The bytes are no report. */
+  kMalformed,
+  kCount,
+};
+
+/** @return the snake_case label of an outcome. */
+std::string_view toString(ReportOutcome outcome);
+
+/** Merges the reports of a zone's nodes. Not thread safe. */
+class ZoneObservations {
+ public:
+  ReportOutcome merge(TimePoint now, const HostReport& report);
+  /**
+   * @return the hosts that answer late by the reports of two nodes or more, latest first. Each node
+   * counts once for a host, whatever its number of samples, and the highest is left out: a faulty
+   * node ejects no host alone.
+   */
+  std::vector<HostStanding> standings(TimePoint now);
+
+ private:
+  struct Observation {
+    uint64_t reporter = 0;
+    TimePoint at{};
+    /** A multiple of the usual time. */
+    double ratio = 1.0;
+  };
+  struct Reporter {
+    uint64_t sequence = 0;
+    TimePoint at{};
+  };
+  using Observations = std::vector<Observation>;
+
+  static void note(Observations& observations, const Observation& observation);
+  void forgetOld(TimePoint now);
+  /** @return the mean without the highest, with some usual answers added. */
+  static double scoreOf(const Observations& observations);
+
+  std::unordered_map<uint32_t, Observations> hosts_;
+  std::unordered_map<uint64_t, Reporter> reporters_;
+};
+
+}  // namespace umberhold
--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -32,6 +32,54 @@
   }
 };
 
+/** What a node saw of one host since its last report. */
+struct HostObservation {
+  /** Flow token of the host. */
+  uint32_t token = 0;
+  /** Requests that ended, or waited beyond all measure. */
+  uint32_t requests = 0;
+  /** Mean of their times, as a percentage of their services' usual time. */
+  uint32_t percentOfUsual = 100;
+
+  bool operator==(const HostObservation&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(token, requests, percentOfUsual);
+  }
+};
+
+/** What a node that follows a reader saw of hosts since it last asked. */
+struct HostReport {
+  /** Tells the nodes of a zone apart. */
+  uint64_t reporter = 0;
+  /** Rises with each report of one run of the node. */
+  uint64_t sequence = 0;
+  std::vector<HostObservation> hosts;
+
+  bool operator==(const HostReport&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(reporter, sequence, hosts);
+  }
+};
+
+/** A host that the nodes of a zone together see answering late. */
+struct HostStanding {
+  uint32_t token = 0;
+  uint32_t percentOfUsual = 100;
+  /** Age of the youngest report that speaks of it. */
+  uint32_t ageMilliseconds = 0;
+
+  bool operator==(const HostStanding&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(token, percentOfUsual, ageMilliseconds);
+  }
+};
+
 /** PeerChanges::outageEndedAgoMilliseconds where there was no outage. */
 constexpr uint32_t kNoOutage = UINT32_MAX;
 
@@ -51,13 +99,15 @@
    */
   bool whole = false;
   std::vector<HostEvent> events;
+  /** Hosts that the zone's nodes together see answering late; the others are as usual. */
+  std::vector<HostStanding> standings;
 
   bool operator==(const PeerChanges&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
-            hostsVersion, whole, events);
+            hostsVersion, whole, events, standings);
   }
 };
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -93,10 +93,22 @@
       });
     }
     director.onCaughtUp(steadyNow());
+    exchangeObservations();
     logPaces();
     flushLog();
   }
 
+  void exchangeObservations() {
+    if (hooks.observations == nullptr) {
+      return;
+    }
+    const TimePoint now = steadyNow();
+    hooks.observations->add(now, director.takeSamples());
+    if (const auto news = hooks.observations->takeNews()) {
+      director.learn(now, *news);
+    }
+  }
+
   void logPaces() {
     for (const HostPace& pace : director.takePaceChanges()) {
       if (flowLog.admit(steadyNow(), LineKind::kBelief)) {
@@ -248,7 +260,9 @@
         packetTimes,
         changeTimes,
         hooks.storeStatus ? std::optional(hooks.storeStatus()) : std::nullopt,
-        reloads};
+        reloads,
+        hooks.observations == nullptr ? std::nullopt
+                                      : std::optional(hooks.observations->counters())};
     return TextAnswer{true, kMetricsType, renderMetrics(metrics, readProcessUsage())};
   }
 
--- a/source/common/server/token_node.h
+++ b/source/common/server/token_node.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "common/base/result.h"
+#include "common/health/observation_exchange.h"
 #include "common/log/structured_log.h"
 #include "common/packet/packet_format.h"
 #include "common/platform/catalog_source.h"
@@ -23,6 +24,8 @@
 struct TokenNodeHooks {
   /** Borrowed. Without it, decisions are counted and not logged. */
   StructuredLog* log = nullptr;
+  /** Borrowed. What this node and others see of hosts; without it, each judges alone. */
+  ObservationExchange* observations = nullptr;
   std::function<StoreReadStatus()> storeStatus;
   /** Answers other nodes at the settings' peerAddress; without it there is no such port. */
   TextResponder answerPeer;
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -100,6 +100,15 @@
   }
 }
 
+MetricFamily reportFamily(const ReportCounters& reports) {
+  MetricFamilyBuilder family =
+      counterFamily("umberhold_host_reports_total", "What peers reported of hosts, by outcome");
+  forEachValue<ReportOutcome>([&](ReportOutcome outcome, size_t index) {
+    family.add(static_cast<double>(reports[index]), {metricLabel("outcome", toString(outcome))});
+  });
+  return family.take();
+}
+
 MetricFamily portFamily(const UdpCounters& port) {
   return counterFamily("umberhold_udp_failures_total",
                        "Datagrams that a port could not send or take")
@@ -138,6 +147,9 @@
                                      metrics.changeTimes));
   addLog(metrics, families);
   families.push_back(reloadFamily(metrics.reloads));
+  if (metrics.hostReports) {
+    families.push_back(reportFamily(*metrics.hostReports));
+  }
   families.push_back(portFamily(metrics.port));
   addUsageFamilies(usage, families);
   return prometheus::TextSerializer().Serialize(families);
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "common/health/observation_exchange.h"
 #include "common/log/line_output.h"
 #include "common/platform/store_read_status.h"
 #include "common/server/flow_log.h"
@@ -35,6 +36,8 @@
   /** Nothing where the process doesn't say. */
   std::optional<StoreReadStatus> store;
   ReloadCounters reloads;
+  /** Nothing where the process takes no reports. */
+  std::optional<ReportCounters> hostReports;
 };
 
 /** @return the snapshot in Prometheus' text format. */
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -168,6 +168,7 @@
                   kLongestBoundMilliseconds);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kLongestFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kLongestLingerMilliseconds);
+    reader.flag("share_observations", settings.sharesObservations);
     PlacementOptions& placement = settings.placement;
     reader.flag("prefer_own_zone", placement.prefersOwnZone);
     reader.fraction("slow_host_ratio", placement.slowHostRatio, kHighestRatio);
@@ -211,6 +212,7 @@
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
   compare("linger_milliseconds", &S::lingerMilliseconds, true);
+  compare("share_observations", &S::sharesObservations, false);
   const auto comparePlacement = [&](const char* key, auto member) {
     if (before.placement.*member != after.placement.*member) {
       changes.push_back({key, false});
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -48,6 +48,8 @@
   uint32_t flowLifeSeconds = 60;
   /** How long packets are still forwarded after SIGTERM, milliseconds. */
   uint32_t lingerMilliseconds = 2500;
+  /** Nodes that follow a reader tell it what they see of hosts, and hear of the others. */
+  bool sharesObservations = true;
   /** How hosts of a pool are compared for a new flow. */
   PlacementOptions placement{};
 };
--- a/source/common/wire/codec.cc
+++ b/source/common/wire/codec.cc
@@ -163,4 +163,11 @@
   return decodeObject<PeerChanges>(bytes);
 }
 
+Result<std::string, EncodeError> encodeHostReport(const HostReport& report) {
+  return encodeStruct(report);
+}
+Result<HostReport, DecodeError> decodeHostReport(std::string_view bytes) {
+  return decodeStruct<HostReport>(bytes);
+}
+
 }  // namespace umberhold
--- /dev/null
+++ b/test/common/health/host_observations_test.cc
@@ -0,0 +1,142 @@
+/** @file What nodes of a zone see of hosts, put together; and what is no good report. */
+#include "common/health/host_observations.h"
+
+#include <string>
+
+#include "common/health/observation_exchange.h"
+#include "common/wire/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kSlowHost = 7;
+constexpr uint32_t kUsualHost = 8;
+
+}  // namespace
+
+TEST_GROUP(HostObservations) {
+  TimePoint now{seconds(1000)};
+  ZoneObservations zone;
+  uint64_t sequence = 0;
+
+  HostReport report(uint64_t reporter, uint32_t token, uint32_t percent) {
+    return {reporter, ++sequence, {{token, 1, percent}}};
+  }
+  ReportOutcome merge(uint64_t reporter, uint32_t token, uint32_t percent) {
+    return zone.merge(now, report(reporter, token, percent));
+  }
+};
+
+TEST(HostObservations, NamesAHostThatSeveralNodesSeeAnsweringLate) {
+  for (uint64_t reporter = 1; reporter <= 4; ++reporter) {
+    merge(reporter, kSlowHost, 450);
+    merge(reporter, kUsualHost, 110);
+  }
+  now += milliseconds(300);
+  const auto standings = zone.standings(now);
+  LONGS_EQUAL(1, standings.size());
+  LONGS_EQUAL(kSlowHost, standings[0].token);
+  LONGS_EQUAL(310, standings[0].percentOfUsual);  // (2 + 3 x 4.5) / (2 + 3)
+  LONGS_EQUAL(300, standings[0].ageMilliseconds);
+}
+
+TEST(HostObservations, OneNodeAloneNamesNobodyHoweverOftenItReports) {
+  for (int count = 0; count < 50; ++count) {
+    merge(1, kSlowHost, 500);
+    now += milliseconds(10);
+  }
+  CHECK_TRUE(zone.standings(now).empty());
+}
+
+TEST(HostObservations, OneWrongNodeAmongWellOnesNamesNobody) {
+  for (uint64_t reporter = 1; reporter <= 6; ++reporter) {
+    merge(reporter, kSlowHost, reporter == 1 ? 500 : 100);
+  }
+  CHECK_TRUE(zone.standings(now).empty());
+}
+
+TEST(HostObservations, ForgetsWhatIsOld) {
+  merge(1, kSlowHost, 500);
+  merge(2, kSlowHost, 500);
+  LONGS_EQUAL(1, zone.standings(now).size());
+  now += seconds(4);
+  CHECK_TRUE(zone.standings(now).empty());
+}
+
+TEST(HostObservations, TakesAReportOnceAndNoOlderOne) {
+  const HostReport first = report(1, kSlowHost, 500);
+  const HostReport second = report(1, kSlowHost, 100);
+  CHECK_TRUE(zone.merge(now, second) == ReportOutcome::kTaken);
+  CHECK_TRUE(zone.merge(now, second) == ReportOutcome::kRepeated);
+  CHECK_TRUE(zone.merge(now, first) == ReportOutcome::kRepeated);
+  now += seconds(4);  // A node that was replaced may count from an earlier number again.
+  CHECK_TRUE(zone.merge(now, first) == ReportOutcome::kTaken);
+}
+
+TEST(HostObservations, RefusesFiguresThatNoNodeCanHaveMeasured) {
+  CHECK_TRUE(zone.merge(now, {1, 1, {{kSlowHost, 1, 501}}}) == ReportOutcome::kInvalid);
+  CHECK_TRUE(zone.merge(now, {1, 2, {{kSlowHost, 0, 300}}}) == ReportOutcome::kInvalid);
+  HostReport tooLong{1, 3, {}};
+  for (uint32_t token = 0; token <= kMostReportedHosts; ++token) {
+    tooLong.hosts.push_back({token + 1, 1, 100});
+  }
+  CHECK_TRUE(zone.merge(now, tooLong) == ReportOutcome::kInvalid);
+  CHECK_TRUE(merge(1, kSlowHost, 500) == ReportOutcome::kTaken);
+}
+
+TEST(HostObservations, NamesTheLatestFirstAndABoundedNumber) {
+  for (uint32_t token = 1; token <= 600; ++token) {
+    for (uint64_t reporter = 1; reporter <= 2; ++reporter) {
+      merge(reporter, token, token == 77 ? 500 : 400);
+    }
+  }
+  const auto standings = zone.standings(now);
+  LONGS_EQUAL(kMostStandings, standings.size());
+  LONGS_EQUAL(77, standings[0].token);
+}
+
+TEST(HostObservations, AReportHoldsTheMeansOfABoundedNumberOfHosts) {
+  SampleGatherer gatherer(5);
+  gatherer.add({{kSlowHost, 2.0}, {kSlowHost, 1000.0}, {kUsualHost, 1.0}});
+  const HostReport report = gatherer.takeReport(now);
+  LONGS_EQUAL(5, report.reporter);
+  LONGS_EQUAL(2, report.hosts.size());
+  for (const HostObservation& seen : report.hosts) {
+    LONGS_EQUAL(seen.token == kSlowHost ? 350 : 100, seen.percentOfUsual);
+    LONGS_EQUAL(seen.token == kSlowHost ? 2 : 1, seen.requests);
+  }
+  CHECK_TRUE(gatherer.takeReport(now).hosts.empty());
+  std::vector<HostSample> many;
+  for (uint32_t token = 1; token <= 1000; ++token) {
+    many.push_back({token, 1.0});
+  }
+  gatherer.add(many);
+  LONGS_EQUAL(kMostReportedHosts, gatherer.takeReport(now).hosts.size());
+}
+
+TEST(HostObservations, ANodeThatIsAskedAddsWhatItSeesItself) {
+  ObservationExchange exchange("front-1");
+  const auto encoded = encodeHostReport({1, 1, {{kSlowHost, 1, 500}}});
+  exchange.merge(now, valueOf(encoded));
+  CHECK_TRUE(exchange.standings(now).empty());
+  exchange.add(now, {{kSlowHost, 5.0}});
+  const auto news = exchange.takeNews();
+  CHECK_TRUE(news.has_value());
+  LONGS_EQUAL(1, news->size());
+  CHECK_FALSE(exchange.takeNews().has_value());
+}
+
+TEST(HostObservations, WhatIsNoReportIsCountedAndChangesNothing) {
+  ObservationExchange exchange("front-1");
+  exchange.merge(now, "no report");
+  exchange.merge(now, std::string(3000, '\x91'));
+  LONGS_EQUAL(2, exchange.counters()[static_cast<size_t>(ReportOutcome::kMalformed)]);
+  CHECK_TRUE(exchange.standings(now).empty());
+}
+
+}  // namespace umberhold
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -25,6 +25,7 @@
 drain_bound_milliseconds = 4000
 flow_life_seconds = 90
 linger_milliseconds = 3000
+share_observations = false
 prefer_own_zone = false
 slow_host_ratio = 4.0
 weighed_ratio = 1.5
@@ -52,6 +53,7 @@
   const auto settings = parseTokenNodeSettings(kComplete);
   CHECK_TRUE(isOk(settings));
   const TokenNodeSettings& read = valueOf(settings);
+  CHECK_FALSE(read.sharesObservations);
   CHECK_TRUE(read.placement == (PlacementOptions{false, 4.0, 1.5, 1000.0}));
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
--- a/test/fuzz/message_fuzzer.cc
+++ b/test/fuzz/message_fuzzer.cc
@@ -45,6 +45,7 @@
   checkStable(bytes, decodePolicy, encodePolicy);
   checkStable(bytes, decodeRegionContacts, encodeRegionContacts);
   checkStable(bytes, decodePeerChanges, encodePeerChanges);
+  checkStable(bytes, decodeHostReport, encodeHostReport);
 }
 
 void checkEnvelope(std::string_view body) {
--- /dev/null
+++ b/test/platform/store/peer_question_test.cc
@@ -0,0 +1,46 @@
+/** @file The path by which a node asks its reader, with what it saw of hosts. */
+#include "platform/store/peer_question.h"
+
+#include "common/messages/peer_messages.h"
+#include "common/server/poll_http_port.h"
+#include "common/wire/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold::platform {
+
+TEST_GROUP(PeerQuestion){};
+
+TEST(PeerQuestion, ComesBackFromItsPath) {
+  for (const std::string& report :
+       {std::string(), std::string("\0\xFF\xFE/+", 5), std::string(997, '\xFB')}) {
+    const auto parsed = parsePeerQuestion(pathOf({57, report}));
+    CHECK_TRUE(parsed.has_value());
+    LONGS_EQUAL(57, parsed->since);
+    CHECK_TRUE(parsed->report == report);
+  }
+}
+
+TEST(PeerQuestion, FitsIntoAPathForEveryReport) {
+  HostReport report{UINT64_MAX, UINT64_MAX, {}};
+  report.hosts.assign(48, {UINT32_MAX, 1000, 500});
+  const std::string path = pathOf({UINT64_MAX, valueOf(encodeHostReport(report))});
+  CHECK_TRUE(path.size() + 200 < kPollHttpHeadBytes);
+  CHECK_EQUAL(std::string::npos, path.find_first_of(" ?#%\r\n+="));
+}
+
+TEST(PeerQuestion, IsNotReadFromOtherPaths) {
+  for (const char* path : {"/peers/changes/", "/peers/changes/x", "/peers/changes/5x/AAAA",
+                           "/peers/configuration", "/peers/changes/99999999999999999999"}) {
+    CHECK_FALSE(parsePeerQuestion(path).has_value());
+  }
+}
+
+TEST(PeerQuestion, HandsOnAReportThatIsNoBase64) {
+  const auto parsed = parsePeerQuestion("/peers/changes/5/!*!");
+  CHECK_TRUE(parsed.has_value());
+  LONGS_EQUAL(5, parsed->since);
+  CHECK_FALSE(isOk(decodeHostReport(parsed->report)));
+}
+
+}  // namespace umberhold::platform
