Give a node that learns late whom to ask the time to ask before it reads the store

Cause: the 2 s without a confirmation after which a node reads the store (bound of 5 s) counted from its start. At the first start of all a node waits for its own entry to be listed, about 2 s: 75 of 88 nodes made two watches each and ended them within the second. Ruled out: a longer limit for all (a lost reader must be made up for within the bound). Change: the first roster counts as a confirmation, at most 2 s after the start; so the list of the start is confirmed or replaced within 0.8 of the bound, before the node counts as in touch.

--- a/source/common/platform/read_source.cc
+++ b/source/common/platform/read_source.cc
@@ -25,10 +25,18 @@
 }
 
 ReadSource::ReadSource(TimePoint now, ReadSourceOptions options, RandomSource& random)
-    : options_(options), random_(random), decideBy_(now + options.decision), confirmedAt_(now) {}
+    : options_(options),
+      random_(random),
+      startedAt_(now),
+      decideBy_(now + options.decision),
+      confirmedAt_(now) {}
 
 void ReadSource::setRoster(TimePoint now, const ReaderRoster& roster) {
   const bool hadCandidates = !candidates_.empty();
+  if (!hasRoster_) {
+    // It could ask nobody before; the list of its start is confirmed within twice the usual time.
+    confirmedAt_ = std::max(confirmedAt_, std::min(now, startedAt_ + options_.longestUnconfirmed));
+  }
   hasRoster_ = true;
   readsItself_ = roster.readsItself();
   candidates_ = roster.candidates();
--- a/source/common/platform/read_source.h
+++ b/source/common/platform/read_source.h
@@ -118,6 +118,7 @@
 
   const ReadSourceOptions options_;
   RandomSource& random_;
+  const TimePoint startedAt_;
   const TimePoint decideBy_;
   bool hasRoster_ = false;
   bool readsItself_ = false;
@@ -128,7 +129,8 @@
   uint32_t beginnings_ = 0;
   bool storeSilent_ = false;
   std::optional<TimePoint> askedAt_;
-  /** What the node holds was confirmed then; the start counts, as a list was read. */
+  /** What the node holds was confirmed then; the start counts, as a list was read, and for a node
+   * that learns late whom to ask so does that moment. */
   TimePoint confirmedAt_;
   TimePoint nextQuestion_ = TimePoint::max();
 };
