Weigh slow hosts only, without a separate rule that ejects them

Change: the rule, its setting and its share of the tests go; host_slow and host_usual stay as log lines, found while placing, so that a sample no longer costs a median of its pool.

--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -63,7 +63,7 @@
   bool vanished = false;
   /** This opening is a repeat; the host that left the earlier copy unanswered, or empty. */
   std::string_view avoidedHost;
-  /** The host answers far later than its pool's median, and no better one was there. */
+  /** The host answers far later than its pool's median. */
   bool slow = false;
   /** The host's answers of late, as a multiple of its pool's median. */
   double slowness = 1.0;
--- a/source/common/flow/flow_placement.cc
+++ b/source/common/flow/flow_placement.cc
@@ -14,6 +14,11 @@
 constexpr Duration kVanishedGrace = std::chrono::milliseconds(1500);
 /** Below this part of an equal share of the hosts, a zone sends some of its flows elsewhere. */
 constexpr double kFewHosts = 0.9;
+/**
+ * Multiple of the median beyond which a host counts as slow. Well hosts stay below 2 (work times
+ * with a spread of 0.5, samples weighed by a quarter).
+ */
+constexpr double kSlowHost = 2.2;
 /** Ranks of later tiers lie beyond every load. */
 constexpr double kTier = 1e9;
 
@@ -40,16 +45,6 @@
   return chosen->host;
 }
 
-bool FlowPlacement::isSlow(TimePoint now, const TokenPool& pool, const TokenHost& host) {
-  times_.clear();
-  for (const TokenHost* other : pool.hosts) {
-    if (mayTakeFlows(now, *other)) {
-      times_.push_back(other->estimate.responseScore(now));
-    }
-  }
-  return host.estimate.responseScore(now) > options_.slowHostRatio * medianTime();
-}
-
 void FlowPlacement::collect(TimePoint now, const TokenPool& pool, uint32_t avoided) {
   candidates_.clear();
   for (TokenHost* host : pool.hosts) {
@@ -75,7 +70,7 @@
   const double median = medianTime();
   for (Candidate& candidate : candidates_) {
     candidate.slowness /= median;
-    candidate.slow = candidate.slowness > options_.slowHostRatio;
+    notePace(candidate);
     if (candidate.slowness > options_.weighedRatio) {
       const double excess = candidate.slowness / options_.weighedRatio;
       candidate.load *= excess * excess;
@@ -83,6 +78,15 @@
   }
 }
 
+void FlowPlacement::notePace(const Candidate& candidate) {
+  TokenHost& host = *candidate.host;
+  const bool slow = candidate.slowness > kSlowHost;
+  if (slow != host.slow) {
+    host.slow = slow;
+    paceChanges_.push_back({host.pool, host.spec.name, slow, candidate.slowness});
+  }
+}
+
 double FlowPlacement::medianTime() {
   if (times_.empty()) {
     return 1.0;
@@ -153,7 +157,7 @@
   evidence_.ownZone = host.spec.zone == zone_;
   evidence_.silent = chosen.silent;
   evidence_.vanished = chosen.vanished;
-  evidence_.slow = chosen.slow;
+  evidence_.slow = host.slow;
   evidence_.slowness = chosen.slowness;
   evidence_.zoneScore = pool.zoneScore(now, zone_);
   evidence_.load = host.estimate.load(now);
@@ -167,7 +171,7 @@
   if (leavesZone && !otherZone) {
     tier += 2 * kTier;
   }
-  if (silent || avoided || slow) {
+  if (silent || avoided) {
     tier += 2 * kTier;
   }
   if (vanished) {
--- a/source/common/flow/flow_placement.h
+++ b/source/common/flow/flow_placement.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/base/random.h"
@@ -19,6 +20,15 @@
 
 namespace umberhold {
 
+/** A host began or ceased to answer far later than the others of its pool; for logs. */
+struct HostPace {
+  std::string pool;
+  std::string host;
+  bool slow = false;
+  /** Its answers of late, as a multiple of the pool's median. */
+  double slowness = 1.0;
+};
+
 /** Not thread safe. */
 class FlowPlacement {
  public:
@@ -30,8 +40,8 @@
    * @return the host; nullptr where none may take a flow. evidence() says what decided.
    */
   TokenHost* place(TimePoint now, const TokenPool& pool, uint32_t avoided);
-  /** @return whether the host answers far later than its pool's median. */
-  bool isSlow(TimePoint now, const TokenPool& pool, const TokenHost& host);
+  /** @return the hosts that became slow or usual since the last call. */
+  std::vector<HostPace> takePaceChanges() { return std::exchange(paceChanges_, {}); }
   /** @return what decided the last placement; fields that a pool doesn't know are left alone. */
   PlacementEvidence& evidence() { return evidence_; }
 
@@ -44,14 +54,13 @@
     /** The host left an earlier copy of this opening unanswered. */
     bool avoided = false;
     bool vanished = false;
-    bool slow = false;
     /** Answers of late, as a multiple of the pool's median. */
     double slowness = 1.0;
     /** Load for its weight, the new flow included. */
     double load = 0.0;
 
     /** @return whether other hosts come first, whatever their load and zone. */
-    bool isPoor() const { return silent || avoided || slow || vanished; }
+    bool isPoor() const { return silent || avoided || host->slow || vanished; }
     /** @return the order of preference, lower first. @param leavesZone hosts of the own zone come
      * after others. */
     double rank(bool leavesZone) const;
@@ -59,7 +68,9 @@
 
   /** Fills candidates_. */
   void collect(TimePoint now, const TokenPool& pool, uint32_t avoided);
+  /** Scales the load of candidates that answer late. */
   void weighTimes(TimePoint now);
+  void notePace(const Candidate& candidate);
   /** @return the median of the times in times_, the lower one of an even number; 1 where none is.
    */
   double medianTime();
@@ -81,6 +92,7 @@
   /** Kept between calls for its memory. */
   std::vector<Candidate> candidates_;
   std::vector<double> times_;
+  std::vector<HostPace> paceChanges_;
 };
 
 }  // namespace umberhold
--- a/source/common/flow/placement_options.h
+++ b/source/common/flow/placement_options.h
@@ -7,11 +7,6 @@
 struct PlacementOptions {
   /** Hosts of the node's own zone come before others. */
   bool prefersOwnZone = true;
-  /**
-   * A host that answers so many times later than its pool's median takes flows only where no other
-   * can. Well hosts stay below 2 (work times with a spread of 0.5, samples weighed by a quarter).
-   */
-  double slowHostRatio = 2.2;
   /** A host's load is scaled up from so many times the median on. */
   double weighedRatio = 1.2;
   /** The own zone's hosts answer so many times later than those of other zones: a part of the flows
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -147,28 +147,16 @@
   if (samples_.size() < kMostSamples) {
     samples_.push_back({host.token, ratio});
   }
-  notePace(now, *pool, host);
   if (!host.slow) {
     pool->zones.try_emplace(host.spec.zone, kZoneSamplePart).first->second.add(now, ratio);
   }
 }
 
-void TokenDirector::notePace(TimePoint now, const TokenPool& pool, TokenHost& host) {
-  const bool slow = placement_.isSlow(now, pool, host);
-  if (slow != host.slow) {
-    host.slow = slow;
-    paceChanges_.push_back({host.pool, host.spec.name, slow, host.estimate.responseScore(now)});
-  }
-}
-
 void TokenDirector::learn(TimePoint now, const std::vector<HostStanding>& standings) {
   for (const HostStanding& standing : standings) {
-    TokenHost* host = hosts_.find(standing.token);
-    const TokenPool* pool = host == nullptr ? nullptr : hosts_.findPool(host->pool);
-    if (pool != nullptr) {
+    if (TokenHost* host = hosts_.find(standing.token)) {
       host->estimate.onShared(now - std::chrono::milliseconds(standing.ageMilliseconds),
                               standing.percentOfUsual / kPercent);
-      notePace(now, *pool, *host);
     }
   }
 }
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -39,15 +39,6 @@
   PlacementOptions placement{};
 };
 
-/** A host began or ceased to answer far later than the others of its pool; for logs. */
-struct HostPace {
-  std::string pool;
-  std::string host;
-  bool slow = false;
-  /** Its answers of late, as a multiple of the service's usual time. */
-  double score = 1.0;
-};
-
 /** One request's time, for other nodes. */
 struct HostSample {
   /** Flow token of the host. */
@@ -88,7 +79,7 @@
   /** Every packet that had arrived was handled; see FlowProgress and RequestTimer. */
   void onCaughtUp(TimePoint now);
   /** @return the hosts that became slow or usual since the last call. */
-  std::vector<HostPace> takePaceChanges() { return std::exchange(paceChanges_, {}); }
+  std::vector<HostPace> takePaceChanges() { return placement_.takePaceChanges(); }
   /** @return this node's own samples since the last call. */
   std::vector<HostSample> takeSamples() { return std::exchange(samples_, {}); }
   /** What the nodes of the zone together say of hosts. */
@@ -125,7 +116,6 @@
   /** Learns from the packet how long the host took for its request. */
   void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
   void noteSample(TimePoint now, TokenHost& host, double ratio);
-  void notePace(TimePoint now, const TokenPool& pool, TokenHost& host);
   Opening& openingOf(FlowHash flow) { return openings_[flow.value % openings_.size()]; }
   /** @return the token of the host that left an earlier copy of this opening packet unanswered; 0
    * for none. */
@@ -146,7 +136,6 @@
   std::array<Opening, kOpenings> openings_{};
   FlowProgress progress_;
   RequestTimer timer_;
-  std::vector<HostPace> paceChanges_;
   std::vector<HostSample> samples_;
 };
 
--- a/source/common/flow/token_hosts.h
+++ b/source/common/flow/token_hosts.h
@@ -60,7 +60,7 @@
   TimePoint firstSeen{};
   /** It left, and a host that appeared later has its endpoint: this incarnation has ended. */
   bool ended = false;
-  /** It answered far later than its pool's median when last looked at. */
+  /** It answered far later than its pool's median at the pool's last placement. */
   bool slow = false;
   HostEstimate estimate;
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -114,7 +114,7 @@
       if (flowLog.admit(steadyNow(), LineKind::kBelief)) {
         LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO)
             << "event=host_" << (pace.slow ? "slow" : "usual") << " pool=" << pace.pool
-            << " host=" << pace.host << " times_usual=" << pace.score;
+            << " host=" << pace.host << " slowness=" << pace.slowness;
       }
     }
   }
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -171,7 +171,6 @@
     reader.flag("share_observations", settings.sharesObservations);
     PlacementOptions& placement = settings.placement;
     reader.flag("prefer_own_zone", placement.prefersOwnZone);
-    reader.fraction("slow_host_ratio", placement.slowHostRatio, kHighestRatio);
     reader.fraction("weighed_ratio", placement.weighedRatio, kHighestRatio);
     reader.fraction("zone_leaves_ratio", placement.zoneLeavesRatio, kHighestRatio);
     reader.refuseOtherKeys();
@@ -219,7 +218,6 @@
     }
   };
   comparePlacement("prefer_own_zone", &PlacementOptions::prefersOwnZone);
-  comparePlacement("slow_host_ratio", &PlacementOptions::slowHostRatio);
   comparePlacement("weighed_ratio", &PlacementOptions::weighedRatio);
   comparePlacement("zone_leaves_ratio", &PlacementOptions::zoneLeavesRatio);
   return changes;
