--- a/source/common/flow/request_timer.h
+++ b/source/common/flow/request_timer.h
@@ -40,8 +40,8 @@
    * @param packet a later packet of a flow, in a format that tells sequence numbers.
    * @param patience how long a request that begins now may wait before it is overdue; none: it
    * never is.
-   * @return the time from the request's first packet to the answer, where this packet tells it. Not
-   * told: requests whose data was sent again (a packet was lost, or its host is silent), whose
+   * @return the time from the request's first packet to the answer, where this packet shows it. Not
+   * measured: requests whose data was sent again (a packet was lost, or its host is silent), whose
    * answer is acknowledged only together with the next request (the caller paused in between),
    * those of which a part or a later request passed another node, and those that were handled in
    * one go with their answer (this node is behind).
--- a/source/common/flow/token_hosts.h
+++ b/source/common/flow/token_hosts.h
@@ -92,7 +92,7 @@
 
   /**
    * Adds or replaces a pool, by name; hosts that it no longer lists keep their open flows.
-   * @param version of the catalogue that the pool is from; it is told as evidence only.
+   * @param version of the catalogue that the pool is from; for logs only.
    * @return what changed for its hosts.
    */
   std::vector<HostChange> setPool(TimePoint now, const HostPool& pool, uint64_t version);
@@ -112,10 +112,11 @@
              std::vector<HostChange>& changes);
   /** Marks those that the new list lacks. */
   void markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes);
-  /** Finds the hosts that have surely ended; of two hosts in one list neither is surely older. */
+  /** Finds the hosts that have ended: a later one has their endpoint. Of two hosts in one list
+   * neither counts as later. */
   void settleEnded();
   void forgetOld(TimePoint now);
-  /** Makes the pools' lists of hosts anew. */
+  /** Rebuilds the pools' lists of hosts. */
   void indexByPool();
 
   Duration flowLife_;
--- a/source/common/health/host_observations.cc
+++ b/source/common/health/host_observations.cc
@@ -10,7 +10,7 @@
 constexpr Duration kWindow = std::chrono::seconds(3);
 /** Usual answers that every host is taken to have had besides: few reports move it little. */
 constexpr double kPriorSamples = 2.0;
-/** A host below this is not told of. */
+/** Hosts with a lower score are left out of answers. */
 constexpr double kLateScore = 1.5;
 constexpr size_t kFewestReporters = 2;
 constexpr double kPercent = 100.0;
