--- a/source/common/flow/flow_placement.h
+++ b/source/common/flow/flow_placement.h
@@ -59,7 +59,7 @@
     /** Load for its weight, the new flow included. */
     double load = 0.0;
 
-    /** @return whether other hosts come first, whatever their load and zone. */
+    /** @return whether its zone should not count on it. */
     bool isPoor() const { return silent || avoided || host->slow || vanished; }
     /** @return the order of preference, lower first. @param leavesZone hosts of the own zone come
      * after others. */
--- a/source/common/flow/request_timer.cc
+++ b/source/common/flow/request_timer.cc
@@ -61,9 +61,9 @@
 std::optional<Duration> RequestTimer::end(TimePoint now, const FlowPacket& packet,
                                           Entry& entry) const {
   entry.underWay = false;
-  const bool isTold = packet.dataBytes == 0 && !entry.repeated &&
-                      packet.sequence == entry.endSequence && entry.caughtUp != caughtUp_;
-  return isTold ? std::optional(now - entry.beganAt) : std::nullopt;
+  const bool isMeasured = packet.dataBytes == 0 && !entry.repeated &&
+                          packet.sequence == entry.endSequence && entry.caughtUp != caughtUp_;
+  return isMeasured ? std::optional(now - entry.beganAt) : std::nullopt;
 }
 
 std::vector<OverdueRequest> RequestTimer::onCaughtUp(TimePoint now) {
--- a/source/common/flow/response_score.h
+++ b/source/common/flow/response_score.h
@@ -18,7 +18,8 @@
  */
 class ResponseScore {
  public:
-  /** A sample counts for no more: a single request neither ejects a host nor outweighs many. */
+  /** A sample counts for no more, so that one request neither makes a host slow nor outweighs many.
+   */
   static constexpr double kHighestSample = 5.0;
 
   /** @param part weight of a new sample against all earlier ones, 0 to 1. */
@@ -47,8 +48,8 @@
     return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(kHalfLife.count()));
   }
 
-  /** A host of the worst score that has no flows is tried again after 1.7 of these; with 1.2 s the
-   * tries cost 0.004 of the worth on days with slow hosts (docs/decisions/0020). */
+  /** Without samples the worst score is below 2.2 after 1.7 of these. With 1.2 s, flows that came
+   * back too soon cost 0.004 of the worth on days with slow hosts (docs/DECISION_QUALITY.md). */
   static constexpr Duration kHalfLife = std::chrono::milliseconds(2500);
 
   double part_;
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -36,6 +36,7 @@
   std::string zone;
   /** No flow lives longer; hosts that left the configuration are remembered so long. */
   Duration flowLife = std::chrono::seconds(60);
+  /** How hosts of a pool are compared for a new flow. */
   PlacementOptions placement{};
 };
 
--- a/source/common/health/observation_exchange.h
+++ b/source/common/health/observation_exchange.h
@@ -32,7 +32,7 @@
 
   // A node that asks a peer.
   HostReport takeReport(TimePoint now);
-  /** The peer's answer to the report. @param now when it came. */
+  /** The peer's answer to the report. */
   void learn(std::vector<HostStanding> standings);
 
   // A node that is asked.
