Give no new flow to hosts of zones that operators have emptied

Ruled out: marking the hosts as draining: a host that took an address over would no longer count as the later one of it, and each node would log fifty changes. Change: evacuated zones are a part of the catalogue (EvacuatedZones), read as a third kind where the platform has a bound for them, told to followers as a whole with every poll, known before a node is ready; placement passes their hosts over. Where every zone of a service is evacuated, flows are refused: the rule says that nothing may reach its hosts.

--- a/source/common/flow/flow_placement.h
+++ b/source/common/flow/flow_placement.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "common/base/random.h"
+#include "common/config/evacuated_zones.h"
 #include "common/flow/flow_director.h"
 #include "common/flow/placement_options.h"
 #include "common/flow/token_hosts.h"
@@ -40,6 +41,8 @@
    * @return the host; nullptr where none may take a flow. evidence() says what decided.
    */
   TokenHost* place(TimePoint now, const TokenPool& pool, uint32_t avoided);
+  /** Hosts of these zones get no new flow. */
+  void setEvacuatedZones(EvacuatedZones zones) { evacuated_ = std::move(zones); }
   /** @return the hosts that became slow or usual since the last call. */
   std::vector<HostPace> takePaceChanges() { return std::exchange(paceChanges_, {}); }
   /** @return what decided the last placement; fields that a pool doesn't know are left alone. */
@@ -85,9 +88,14 @@
   const Candidate* best();
   void noteEvidence(TimePoint now, const TokenPool& pool, const Candidate& chosen);
 
+  bool isEvacuated(const TokenHost& host) const {
+    return evacuated_.zones.contains(host.spec.zone);
+  }
+
   const std::string zone_;
   const PlacementOptions options_;
   RandomSource& random_;
+  EvacuatedZones evacuated_;
   PlacementEvidence evidence_;
   /** Kept between calls for its memory. */
   std::vector<Candidate> candidates_;
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -68,6 +68,8 @@
   std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version = 0) {
     return hosts_.removePool(now, name, version);
   }
+  /** Hosts of these zones get no new flow; their open ones go on. */
+  void setEvacuatedZones(EvacuatedZones zones) { placement_.setEvacuatedZones(std::move(zones)); }
   /** No flow lives longer from now on; see TokenOptions. */
   void setFlowLife(Duration flowLife) { hosts_.setFlowLife(flowLife); }
 
--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -101,13 +101,17 @@
   std::vector<HostEvent> events;
   /** Hosts that the zone's nodes together see answering late; the others are as usual. */
   std::vector<HostStanding> standings;
+  /** Version of the store up to which evacuations are known. */
+  uint64_t evacuationsVersion = 0;
+  /** All zones that are evacuated as of that version. */
+  std::vector<std::string> evacuatedZones;
 
   bool operator==(const PeerChanges&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
-            hostsVersion, whole, events, standings);
+            hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones);
   }
 };
 
--- a/source/common/platform/catalog_source.h
+++ b/source/common/platform/catalog_source.h
@@ -13,6 +13,7 @@
 
 #include "common/base/result.h"
 #include "common/base/time.h"
+#include "common/config/evacuated_zones.h"
 #include "common/config/service.h"
 #include "common/platform/platform_store.h"
 
@@ -26,8 +27,8 @@
   bool operator==(const ObjectGone&) const = default;
 };
 
-/** One change of the catalogue. */
-using CatalogChange = std::variant<Service, HostPool, ObjectGone>;
+/** One change of the catalogue. Evacuated zones are told as a whole. */
+using CatalogChange = std::variant<Service, HostPool, ObjectGone, EvacuatedZones>;
 
 /** Changes that take effect together. */
 struct CatalogChanges {
@@ -43,7 +44,8 @@
  public:
   virtual ~CatalogSource() = default;
 
-  /** @return every pool, then every service: a service without hosts would turn flows away. */
+  /** @return the evacuated zones if some ever were, every pool, then every service: a service
+   * without hosts would turn flows away. */
   virtual Result<CatalogChanges, StoreError> list() = 0;
   /**
    * Waits up to `patience` for changes after the version.
--- /dev/null
+++ b/source/common/platform/zone_evacuations.cc
@@ -0,0 +1,49 @@
+#include "common/platform/zone_evacuations.h"
+
+#include <utility>
+
+namespace umberhold {
+
+void ZoneEvacuations::onBegun(const std::string& zone, uint64_t version) {
+  set(zone, {version, true});
+}
+
+void ZoneEvacuations::onEnded(const std::string& zone, uint64_t version) {
+  set(zone, {version, false});
+}
+
+void ZoneEvacuations::onWhole(const EvacuatedZones& whole, uint64_t version) {
+  for (const std::string& zone : whole.zones) {
+    set(zone, {version, true});
+  }
+  for (const auto& [zone, state] : zones_) {
+    if (!whole.zones.contains(zone)) {
+      set(zone, {version, false});
+    }
+  }
+}
+
+EvacuatedZones ZoneEvacuations::evacuated() const {
+  EvacuatedZones evacuated;
+  for (const auto& [zone, state] : zones_) {
+    if (state.evacuated) {
+      evacuated.zones.insert(zone);
+    }
+  }
+  return evacuated;
+}
+
+bool ZoneEvacuations::takeChange() {
+  return std::exchange(changed_, false);
+}
+
+void ZoneEvacuations::set(const std::string& zone, State state) {
+  State& known = zones_[zone];
+  if (state.version < known.version) {
+    return;
+  }
+  changed_ = changed_ || known.evacuated != state.evacuated;
+  known = state;
+}
+
+}  // namespace umberhold
--- a/source/common/server/catalog_reader.cc
+++ b/source/common/server/catalog_reader.cc
@@ -53,8 +53,8 @@
     (gone->collection == Collection::kHostPools ? pools_ : services_).erase(gone->name);
   } else if (const auto* pool = std::get_if<HostPool>(&change)) {
     pools_.insert(pool->name);
-  } else {
-    services_.insert(std::get<Service>(change).name);
+  } else if (const auto* service = std::get_if<Service>(&change)) {
+    services_.insert(service->name);
   }
 }
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -162,6 +162,25 @@
     }
   }
 
+  void apply(TimePoint /*now*/, uint64_t version, const EvacuatedZones& evacuated) {
+    logEvacuations(version, evacuated);
+    evacuatedZones = evacuated;
+    director.setEvacuatedZones(evacuated);
+  }
+
+  void logEvacuations(uint64_t version, const EvacuatedZones& fresh) const {
+    const auto logLacking = [version](const EvacuatedZones& all, const EvacuatedZones& known,
+                                      const char* event) {
+      for (const std::string& zone : all.zones) {
+        if (!known.zones.contains(zone)) {
+          LOG(INFO) << "event=" << event << " zone=" << zone << " catalogue=" << version;
+        }
+      }
+    };
+    logLacking(fresh, evacuatedZones, "zone_evacuated");
+    logLacking(evacuatedZones, fresh, "zone_returned");
+  }
+
   /** The first catalogue is told by its counts alone. */
   void logHosts(TimePoint now, const std::vector<HostChange>& changes) {
     for (const HostChange& change : changes) {
@@ -252,6 +271,7 @@
         ready(),
         director.serviceCount(),
         director.listedHostCount(),
+        evacuatedZones.zones.size(),
         path.counters(),
         port->counters(),
         flowLog.counters(),
@@ -299,6 +319,7 @@
   const int signalDescriptor;
   std::atomic<bool> stopAsked{false};
   std::atomic<bool> reloadAsked{false};
+  EvacuatedZones evacuatedZones;
   bool flushPlanned = false;
   bool configured = false;
   bool stopping = false;
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -136,6 +136,9 @@
       gaugeOf("umberhold_services", "Services in force", static_cast<double>(metrics.services)));
   families.push_back(
       gaugeOf("umberhold_hosts", "Hosts that some pool lists", static_cast<double>(metrics.hosts)));
+  families.push_back(gaugeOf("umberhold_evacuated_zones",
+                             "Zones that an operator has emptied: their hosts get no new flow",
+                             static_cast<double>(metrics.evacuatedZones)));
   addPacketFamilies(metrics.packets, families);
   families.push_back(histogramFamily("umberhold_packet_seconds",
                                      "Time from a datagram's reading to the end of its handling",
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -26,6 +26,7 @@
   bool ready = false;
   size_t services = 0;
   size_t hosts = 0;
+  size_t evacuatedZones = 0;
   const PacketCounters& packets;
   const UdpCounters& port;
   const FlowLogCounters& flows;
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -166,6 +166,8 @@
                   kLongestBoundMilliseconds);
     reader.number("drain_bound_milliseconds", settings.drainBoundMilliseconds,
                   kLongestBoundMilliseconds);
+    reader.number("evacuation_bound_milliseconds", settings.evacuationBoundMilliseconds,
+                  kLongestBoundMilliseconds);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kLongestFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kLongestLingerMilliseconds);
     reader.flag("share_observations", settings.sharesObservations);
@@ -209,6 +211,7 @@
   compare("first_start", &S::firstStart, false);
   compare("change_bound_milliseconds", &S::changeBoundMilliseconds, false);
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
+  compare("evacuation_bound_milliseconds", &S::evacuationBoundMilliseconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
   compare("linger_milliseconds", &S::lingerMilliseconds, true);
   compare("share_observations", &S::sharesObservations, false);
--- a/test/common/flow/flow_placement_test.cc
+++ b/test/common/flow/flow_placement_test.cc
@@ -194,4 +194,19 @@
   }
 }
 
+TEST(FlowPlacement, GivesNothingToHostsOfAnEvacuatedZoneAndReturnsToThem) {
+  setHosts(3, 3);
+  FlowPlacement placement("bole", options, random);
+  const TokenPool& pool = *hosts.findPool("dispatch");
+  placement.setEvacuatedZones({{"bole"}});
+  for (int index = 0; index < 30; ++index) {
+    // The copy of an opening keeps away from it as well.
+    STRCMP_EQUAL("piassa", placement.place(now, pool, flowTokenOf(4))->spec.zone.c_str());
+  }
+  placement.setEvacuatedZones({{"bole", "piassa"}});
+  POINTERS_EQUAL(nullptr, placement.place(now, pool, 0));
+  placement.setEvacuatedZones({});
+  STRCMP_EQUAL("bole", placement.place(now, pool, 0)->spec.zone.c_str());
+}
+
 }  // namespace umberhold
--- /dev/null
+++ b/test/common/platform/zone_evacuations_test.cc
@@ -0,0 +1,53 @@
+/** @file Which zones are evacuated, as news comes out of order. */
+#include "common/platform/zone_evacuations.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace umberhold;
+
+TEST_GROUP(ZoneEvacuations) {
+  ZoneEvacuations evacuations;
+
+  bool isEvacuated(const std::string& zone) {
+    return evacuations.evacuated().zones.contains(zone);
+  }
+};
+
+TEST(ZoneEvacuations, BeginEndAndBeginAgain) {
+  CHECK_FALSE(evacuations.takeChange());
+  evacuations.onBegun("bole", 10);
+  CHECK_TRUE(evacuations.takeChange());
+  CHECK_TRUE(isEvacuated("bole"));
+  CHECK_FALSE(isEvacuated("piassa"));
+  evacuations.onEnded("bole", 12);
+  CHECK_FALSE(isEvacuated("bole"));
+  evacuations.onBegun("bole", 15);
+  CHECK_TRUE(isEvacuated("bole"));
+  CHECK_TRUE(evacuations.takeChange());
+  CHECK_FALSE(evacuations.takeChange());
+}
+
+TEST(ZoneEvacuations, OlderNewsReplacesNothing) {
+  evacuations.onEnded("bole", 20);
+  evacuations.onBegun("bole", 10);
+  CHECK_FALSE(isEvacuated("bole"));
+  evacuations.onBegun("piassa", 20);
+  evacuations.onEnded("piassa", 10);
+  CHECK_TRUE(isEvacuated("piassa"));
+}
+
+TEST(ZoneEvacuations, AWholeEndsTheOthersButNotNewerOnes) {
+  evacuations.onBegun("bole", 10);
+  evacuations.onBegun("merkato", 40);
+  evacuations.onWhole({{"piassa"}}, 30);
+  CHECK_FALSE(isEvacuated("bole"));
+  CHECK_TRUE(isEvacuated("piassa"));
+  CHECK_TRUE(isEvacuated("merkato"));
+}
+
+TEST(ZoneEvacuations, AnEndIsKnownByTheVersionOfItsBeginning) {
+  // A store may tell an object that is gone with the version of its last change.
+  evacuations.onBegun("bole", 10);
+  evacuations.onEnded("bole", 10);
+  CHECK_FALSE(isEvacuated("bole"));
+}
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -23,6 +23,7 @@
 first_start = true
 change_bound_milliseconds = 5000
 drain_bound_milliseconds = 4000
+evacuation_bound_milliseconds = 5000
 flow_life_seconds = 90
 linger_milliseconds = 3000
 share_observations = false
@@ -71,6 +72,7 @@
   CHECK_TRUE(read.firstStart);
   CHECK_EQUAL(5000, read.changeBoundMilliseconds);
   CHECK_EQUAL(4000, read.drainBoundMilliseconds);
+  CHECK_EQUAL(5000, read.evacuationBoundMilliseconds);
   CHECK_EQUAL(90, read.flowLifeSeconds);
   CHECK_EQUAL(3000, read.lingerMilliseconds);
 }
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -1,4 +1,5 @@
 /** @file Nodes of one zone: one reads the store, the others follow it, and do without it. */
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -44,8 +45,9 @@
 /** A node without packets: its copy of the store, and the port at which peers ask it. */
 class Node {
  public:
-  Node(uint32_t number, const Endpoint& store)
-      : observations_("node-" + std::to_string(number)),
+  Node(uint32_t number, const Endpoint& store, bool followsEvacuations = false)
+      : followsEvacuations_(followsEvacuations),
+        observations_("node-" + std::to_string(number)),
         port_(valueOf(PollHttpPort::open(
             kAnyPort, loop_, [this](const std::string& path) { return answer(path); }))) {
     adapter_ = std::make_unique<ObjectStoreAdapter>(optionsOf(number, store));
@@ -67,8 +69,23 @@
   uint64_t failures() const { return adapter_->status().failures; }
   uint64_t peerConfirmations() const { return adapter_->status().peerConfirmations; }
   ObservationExchange& observations() { return observations_; }
+  /** Pages of lists of the store, those of nodes not counted. */
+  uint64_t lists() const { return adapter_->status().lists; }
   uint64_t answeredPeers() const { return adapter_->status().answeredPeers; }
 
+  EvacuatedZones evacuated() {
+    const auto all = adapter_->list();
+    if (!isOk(all)) {
+      return {};
+    }
+    for (const CatalogChange& change : valueOf(all).changes) {
+      if (const auto* zones = std::get_if<EvacuatedZones>(&change)) {
+        return *zones;
+      }
+    }
+    return {};
+  }
+
   /** @return hosts that take new flows; none before the node is ready. */
   size_t activeHosts() {
     const auto all = adapter_->list();
@@ -94,6 +111,8 @@
     options.region = "addis";
     options.seed = number;
     options.observations = &observations_;
+    options.followsEvacuations = followsEvacuations_;
+    options.gatherEvacuations = milliseconds(10);
     options.self =
         RosterNode{"node-" + std::to_string(number), "bole", port_->local(), 1000 - number};
     options.follower.gatherChanges = milliseconds(20);
@@ -126,6 +145,7 @@
     return adapter_ ? adapter_->answerPeer(path) : std::nullopt;
   }
 
+  const bool followsEvacuations_;
   ObservationExchange observations_;
   PollLoop loop_;
   LoopMailbox mailbox_;
@@ -142,6 +162,7 @@
   /** What the reader alone is cut off from, where a test says so. */
   test::StandinStore readersStore{500};
   std::vector<std::unique_ptr<Node>> nodes;
+  bool followsEvacuations = false;
 
   void setup() override {
     for (test::StandinStore* each : {&store, &readersStore}) {
@@ -153,7 +174,7 @@
   }
   void startAll(uint32_t count = kNodes) {
     for (uint32_t number = 1; number <= count; ++number) {
-      nodes.push_back(std::make_unique<Node>(number, store.address()));
+      nodes.push_back(std::make_unique<Node>(number, store.address(), followsEvacuations));
     }
     // Every node has entered itself, knows of the others, and has been answered by the reader.
     CHECK_TRUE(soon([&] { return store.calls().others == count; }));
@@ -191,6 +212,10 @@
       return all;
     });
   }
+  bool allKnow(const EvacuatedZones& zones, Duration longest) {
+    const auto knows = [&](const auto& node) { return node->evacuated() == zones; };
+    return soon([&] { return std::all_of(nodes.begin(), nodes.end(), knows); }, longest);
+  }
   void drain(uint32_t index) {
     store.objects().set("servers", hostName(index), hostEntry(index, "draining"));
   }
@@ -326,6 +351,56 @@
   CHECK_TRUE(allSee(3));
 }
 
+/** Hundreds of nodes that start together would fill the store's link with their lists. */
+TEST(ZoneReader, ANodeThatStartsTakesEverythingFromItsReaderAndListsNothing) {
+  startAll();
+  drain(1);
+  CHECK_TRUE(allSee(3));
+  nodes.push_back(std::make_unique<Node>(kNodes + 1, store.address()));
+  CHECK_TRUE(allSee(3));
+  LONGS_EQUAL(0, nodes.back()->lists());
+  LONGS_EQUAL(3, nodes.back()->configurationVersion());
+}
+
+TEST(ZoneReader, ANodeWhoseReaderIsGoneListsTheStoreItself) {
+  startAll();
+  nodes.erase(nodes.begin(), nodes.end() - 1);
+  nodes.push_back(std::make_unique<Node>(kNodes + 1, store.address()));
+  CHECK_TRUE(allSee(4));
+}
+
+TEST(ZoneReader, EveryNodeHearsOfEvacuationsAndOfTheirEnds) {
+  followsEvacuations = true;
+  // More connections would outgrow POCO's pool of buffers, which leak detection does not bear.
+  startAll(kFewestNodes);
+  const EvacuatedZones both{{"bole", "merkato"}};
+  store.objects().set("evacuations", "bole", "{}");
+  store.objects().set("evacuations", "merkato", "{}");
+  CHECK_TRUE(allKnow(both, kBound));
+  // A node that starts knows them before it is ready.
+  nodes.push_back(std::make_unique<Node>(kFewestNodes + 1, store.address(), true));
+  CHECK_TRUE(soon([&] { return nodes.back()->activeHosts() == 4; }));
+  CHECK_TRUE(nodes.back()->evacuated() == both);
+  store.objects().remove("evacuations", "bole", 0);
+  CHECK_TRUE(allKnow({{"merkato"}}, kBound));
+}
+
+TEST(ZoneReader, EvacuationsOfAnOutageAreKnownAfterIt) {
+  followsEvacuations = true;
+  startAll(kFewestNodes);
+  store.objects().set("evacuations", "merkato", "{}");
+  CHECK_TRUE(allKnow({{"merkato"}}, kBound));
+  // Taken back and set anew while nobody can hear of it.
+  test::StandinFaults outage;
+  outage.mood = test::StoreMood::kSilent;
+  store.setFaults(outage);
+  store.objects().remove("evacuations", "merkato", 0);
+  store.objects().set("evacuations", "bole", "{}");
+  std::this_thread::sleep_for(milliseconds(300));
+  store.setFaults({});
+  CHECK_TRUE(allKnow({{"bole"}}, 2 * kBound));
+}
+
 TEST(ZoneReader, ASmallZoneHasNoReader) {
   for (uint32_t number = 1; number <= 5; ++number) {
     nodes.push_back(std::make_unique<Node>(number, store.address()));
