Leave a store that is away to probes, and learn of its return from the reader

Cause: in an outage each kind of each node retried on its own, followers probed every 0.3 s, a node that started in the outage counted as unconfirmed as soon as it knew its reader, and listed everything again.

--- a/source/common/platform/read_source.cc
+++ b/source/common/platform/read_source.cc
@@ -31,11 +31,12 @@
       decideBy_(now + options.decision),
       confirmedAt_(now) {}
 
-void ReadSource::setRoster(TimePoint now, const ReaderRoster& roster) {
+void ReadSource::setRoster(TimePoint now, const ReaderRoster& roster, bool isUpToDate) {
   const bool hadCandidates = !candidates_.empty();
   if (!hasRoster_) {
     // It could ask nobody before; the list of its start is confirmed within twice the usual time.
-    confirmedAt_ = std::max(confirmedAt_, std::min(now, startedAt_ + options_.longestUnconfirmed));
+    const TimePoint latest = isUpToDate ? now : startedAt_ + options_.longestUnconfirmed;
+    confirmedAt_ = std::max(confirmedAt_, std::min(now, latest));
   }
   hasRoster_ = true;
   readsItself_ = roster.readsItself();
--- a/source/common/platform/read_source.h
+++ b/source/common/platform/read_source.h
@@ -75,8 +75,12 @@
   /** @param random borrowed; must outlive it. */
   ReadSource(TimePoint now, ReadSourceOptions options, RandomSource& random);
 
-  /** What the roster says of this node. */
-  void setRoster(TimePoint now, const ReaderRoster& roster);
+  /**
+   * What the roster says of this node.
+   * @param isUpToDate what the node holds is as the store has it, or it holds nothing that it could
+   * rely on: if this is the first roster, peers are given the usual time to confirm from now on.
+   */
+  void setRoster(TimePoint now, const ReaderRoster& roster, bool isUpToDate = false);
   /** Another node asked this one. */
   void onAsked(TimePoint now) { askedAt_ = now; }
 
--- a/source/common/platform/store_liveness.h
+++ b/source/common/platform/store_liveness.h
@@ -21,8 +21,12 @@
   Duration interval = std::chrono::milliseconds(800);
   /** The same while other nodes rely on this one's reading: each probe confirms it to them. */
   Duration servingInterval = std::chrono::milliseconds(500);
-  /** After a probe without an answer. */
+  /** After a probe without an answer. Three times as long after each further one, unless other
+   * nodes rely on this one's reading. */
   Duration intervalAfterMiss = std::chrono::milliseconds(300);
+  Duration longestIntervalAfterMiss = std::chrono::milliseconds(1200);
+  /** The same while other nodes rely on this one's reading. */
+  Duration servingIntervalAfterMiss = std::chrono::milliseconds(500);
   /** The same while the process knows nothing yet, so that it can't serve before the store is back.
    */
   Duration startingIntervalAfterMiss = std::chrono::milliseconds(100);
@@ -50,6 +54,8 @@
   void resume(TimePoint now);
   /** Whether other nodes rely on this one's reading. */
   void setServing(bool serving) { serving_ = serving; }
+  /** Whether this node hears from a reader that the store is back: it needs no hurry itself. */
+  void setFollowing(bool following) { following_ = following; }
   /** Whether the process knows nothing yet. */
   void setStarting(bool starting) { starting_ = starting; }
   /** Calls wait that a probe can vouch for: others wait for that. */
@@ -60,12 +66,18 @@
   bool isSilent() const { return silent_; }
 
  private:
+  /** @return how long to wait after a probe without an answer. */
+  Duration pauseAfterMiss();
+
   const StoreLivenessOptions options_;
   RandomSource& random_;
   TimePoint nextProbe_;
   bool silent_ = false;
+  /** How long to wait after the next miss. */
+  Duration afterMiss_;
   bool serving_ = false;
   bool starting_ = false;
+  bool following_ = false;
 };
 
 }  // namespace umberhold
--- a/test/common/platform/store_liveness_test.cc
+++ b/test/common/platform/store_liveness_test.cc
@@ -48,4 +48,40 @@
   CHECK_TRUE(liveness.nextProbe() <= kStart + milliseconds(360));
 }
 
+TEST(StoreLiveness, ProbesAnAbsentStoreMoreSeldomUnlessOthersRelyOnIt) {
+  TimePoint now = kStart;
+  const auto pauseAfterMiss = [&] {
+    liveness.onProbe(now, false);
+    const Duration pause = liveness.nextProbe() - now;
+    now = liveness.nextProbe();
+    return pause;
+  };
+  for (int misses = 0; misses < 4; ++misses) {
+    pauseAfterMiss();
+  }
+  CHECK_TRUE(pauseAfterMiss() >= milliseconds(960));
+  CHECK_TRUE(pauseAfterMiss() <= milliseconds(1440));
+  liveness.setServing(true);
+  CHECK_TRUE(pauseAfterMiss() <= milliseconds(600));
+  liveness.setStarting(true);
+  CHECK_TRUE(pauseAfterMiss() <= milliseconds(120));
+  liveness.setServing(false);
+  liveness.setStarting(false);
+  liveness.onProbe(now, true);
+  now = liveness.nextProbe();
+  CHECK_TRUE(pauseAfterMiss() <= milliseconds(360));
+  // Its reader tells it that the store is back.
+  liveness.setFollowing(true);
+  CHECK_TRUE(pauseAfterMiss() >= milliseconds(960));
+}
+
+TEST(StoreLiveness, ProbesSoonWhereCallsWaitToBeVouchedFor) {
+  liveness.onProbe(kStart, true);
+  liveness.probeSoon(kStart + milliseconds(100));
+  CHECK_TRUE(liveness.nextProbe() <= kStart + milliseconds(150));
+  const TimePoint next = liveness.nextProbe();
+  liveness.probeSoon(kStart + milliseconds(140));
+  CHECK_TRUE(liveness.nextProbe() == next);
+}
+
 }  // namespace umberhold
