--- a/source/common/config/service.h
+++ b/source/common/config/service.h
@@ -47,13 +47,30 @@
    * host that starts anew has another. 0: the host has none.
    */
   uint64_t incarnation = 0;
+  /** How much longer it was cold when it last said so, milliseconds. */
+  uint32_t coldMilliseconds = 0;
 
   bool operator==(const HostSpec&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
-    visitor(name, endpoint, probe, zone, state, drainDeadline, connectionLimit, weight,
-            incarnation);
+    visitor(name, endpoint, probe, zone, state, drainDeadline, connectionLimit, weight, incarnation,
+            coldMilliseconds);
+  }
+};
+
+/** What hosts bear for a while after their start. */
+struct ColdLimit {
+  /** 0: no limit is known. */
+  double requestsPerSecond = 0.0;
+  /** How long a host is cold after its start. */
+  uint32_t startMilliseconds = 0;
+
+  bool operator==(const ColdLimit&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(requestsPerSecond, startMilliseconds);
   }
 };
 
@@ -61,12 +78,13 @@
 struct HostPool {
   std::string name;
   std::vector<HostSpec> hosts;
+  ColdLimit cold{};
 
   bool operator==(const HostPool&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
-    visitor(name, hosts);
+    visitor(name, hosts, cold);
   }
 };
 
--- a/source/common/flow/flow_placement.cc
+++ b/source/common/flow/flow_placement.cc
@@ -48,7 +48,7 @@
 void FlowPlacement::collect(TimePoint now, const TokenPool& pool, uint32_t avoided) {
   candidates_.clear();
   for (TokenHost* host : pool.hosts) {
-    if (!mayTakeFlows(now, *host) || isEvacuated(*host)) {
+    if (!mayTakeFlows(now, *host) || isEvacuated(*host) || !host->cold.mayTake(now)) {
       continue;
     }
     Candidate& candidate = candidates_.emplace_back();
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -1,6 +1,7 @@
 #include "common/flow/token_director.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "common/base/hash.h"
@@ -27,8 +28,52 @@
 
 TokenDirector::TokenDirector(TokenOptions options, RandomSource& random)
     : random_(random),
+      zone_(std::move(options.zone)),
+      coldHosts_(options.coldHosts),
       hosts_(options.flowLife),
-      placement_(std::move(options.zone), options.placement, random) {}
+      placement_(zone_, options.placement, random) {}
+
+std::vector<HostChange> TokenDirector::setPool(TimePoint now, const HostPool& pool,
+                                               uint64_t version) {
+  std::vector<HostChange> changes = hosts_.setPool(now, pool, version);
+  const TokenPool& entry = *hosts_.findPool(pool.name);
+  for (TokenHost* host : entry.hosts) {
+    if (std::exchange(host->hasColdNews, false) &&
+        beginCold(now, entry, *host, std::chrono::milliseconds(host->spec.coldMilliseconds))) {
+      changes.push_back({HostChangeKind::kCold, pool.name, host->spec});
+    }
+  }
+  return changes;
+}
+
+void TokenDirector::setEvacuatedZones(TimePoint now, EvacuatedZones zones) {
+  hosts_.forEachPool([&](const TokenPool& pool) {
+    for (TokenHost* host : pool.hosts) {
+      const std::string& zone = host->spec.zone;
+      if (evacuated_.zones.contains(zone) && !zones.zones.contains(zone)) {
+        beginCold(now, pool, *host, std::chrono::milliseconds(pool.cold.startMilliseconds));
+      }
+    }
+  });
+  evacuated_ = zones;
+  placement_.setEvacuatedZones(std::move(zones));
+}
+
+bool TokenDirector::beginCold(TimePoint now, const TokenPool& pool, TokenHost& host,
+                              Duration remaining) {
+  if (pool.cold.requestsPerSecond <= 0.0) {
+    return false;
+  }
+  const bool wasCold = host.cold.isCold(now);
+  std::set<std::string_view> zones;
+  for (const TokenHost* each : pool.hosts) {
+    zones.insert(each->spec.zone);
+  }
+  const SendingNodes nodes{zoneNodes_, static_cast<uint32_t>(zones.size())};
+  const bool ownZone = host.spec.zone == zone_;
+  host.cold.begin(now, remaining, coldFlowsOfNode(coldHosts_, pool.cold, nodes, ownZone), random_);
+  return !wasCold;
+}
 
 void TokenDirector::setService(const Service& service) {
   const ServiceId id = serviceIdOf(service.name);
@@ -77,6 +122,7 @@
                                        : FlowDecision(RefuseFlow{});
   }
   host->estimate.onOpening(now);
+  host->cold.onPlaced(now);
   openings_.onPlaced(now, packet.hash, host->token);
   ForwardToHost decision = forward(*host);
   decision.placement = &placement_.evidence();
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -38,6 +38,7 @@
   Duration flowLife = std::chrono::seconds(60);
   /** How hosts of a pool are compared for a new flow. */
   PlacementOptions placement{};
+  ColdHostOptions coldHosts{};
 };
 
 /** One request's time, for other nodes. */
@@ -62,14 +63,15 @@
    * @param version of the catalogue that the pool is from; it is told as evidence only.
    * @return what changed for its hosts.
    */
-  std::vector<HostChange> setPool(TimePoint now, const HostPool& pool, uint64_t version = 0) {
-    return hosts_.setPool(now, pool, version);
-  }
+  std::vector<HostChange> setPool(TimePoint now, const HostPool& pool, uint64_t version = 0);
   std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version = 0) {
     return hosts_.removePool(now, name, version);
   }
-  /** Hosts of these zones get no new flow; their open ones go on. */
-  void setEvacuatedZones(EvacuatedZones zones) { placement_.setEvacuatedZones(std::move(zones)); }
+  /** Hosts of these zones get no new flow; their open ones go on. Those of a zone that is taken
+   * back count as cold: they may say so only later. */
+  void setEvacuatedZones(TimePoint now, EvacuatedZones zones);
+  /** Nodes of this node's zone, itself included. */
+  void setZoneNodes(uint32_t nodes) { zoneNodes_ = nodes; }
   /** No flow lives longer from now on; see TokenOptions. */
   void setFlowLife(Duration flowLife) { hosts_.setFlowLife(flowLife); }
 
@@ -91,6 +93,8 @@
   size_t serviceCount() const { return services_.size(); }
   /** @return hosts that some pool lists. */
   size_t listedHostCount() const { return hosts_.listedCount(); }
+  /** @return listed hosts that are cold and have a limit for that time. */
+  size_t coldHostCount(TimePoint now) const { return hosts_.coldCount(now); }
 
  private:
   struct Group {
@@ -105,6 +109,8 @@
     bool repeatable = false;
     UsualResponseTime usualTime;
   };
+  /** @param remaining how much longer the host is cold. @return whether it was not cold before. */
+  bool beginCold(TimePoint now, const TokenPool& pool, TokenHost& host, Duration remaining);
   FlowDecision open(TimePoint now, const FlowPacket& packet);
   FlowDecision follow(TimePoint now, const FlowPacket& packet);
   /** Notes what the packet tells of its host. @return whether the flow is to be refused, since its
@@ -126,6 +132,10 @@
   bool awaitsPool(const ServiceEntry& service) const;
 
   RandomSource& random_;
+  const std::string zone_;
+  const ColdHostOptions coldHosts_;
+  uint32_t zoneNodes_ = 1;
+  EvacuatedZones evacuated_;
   std::unordered_map<ServiceId, ServiceEntry> services_;
   /** Address, port and protocol in one integer, to the service. */
   std::unordered_map<uint64_t, ServiceId> listeners_;
--- a/source/common/flow/token_hosts.cc
+++ b/source/common/flow/token_hosts.cc
@@ -22,6 +22,8 @@
       return "active";
     case HostChangeKind::kLeft:
       return "left";
+    case HostChangeKind::kCold:
+      return "cold";
   }
   return "unknown";
 }
@@ -39,6 +41,7 @@
 std::vector<HostChange> TokenHosts::setPool(TimePoint now, const HostPool& pool, uint64_t version) {
   std::vector<HostChange> changes;
   TokenPool& entry = pools_[pool.name];
+  entry.cold = pool.cold;
   entry.version = version;
   entry.appliedAt = now;
   for (const HostSpec& spec : pool.hosts) {
@@ -72,6 +75,8 @@
   } else if (drains != (host.spec.state == HostState::kDraining)) {
     changes.push_back({drains ? HostChangeKind::kDraining : HostChangeKind::kActive, pool, spec});
   }
+  const uint32_t coldBefore = added ? 0 : host.spec.coldMilliseconds;
+  host.hasColdNews = spec.coldMilliseconds != 0 && spec.coldMilliseconds != coldBefore;
   host.token = token;
   host.spec = spec;
   host.id = hostIdOf(serviceIdOf(pool), spec.name);
@@ -144,6 +149,12 @@
   return place == pools_.end() ? nullptr : &place->second;
 }
 
+size_t TokenHosts::coldCount(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(hosts_.begin(), hosts_.end(), [now](const auto& entry) {
+    return entry.second.listed && entry.second.cold.isCold(now);
+  }));
+}
+
 size_t TokenHosts::listedCount() const {
   return static_cast<size_t>(std::count_if(hosts_.begin(), hosts_.end(),
                                            [](const auto& entry) { return entry.second.listed; }));
--- a/source/common/flow/token_hosts.h
+++ b/source/common/flow/token_hosts.h
@@ -16,6 +16,7 @@
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
 #include "common/config/service.h"
+#include "common/flow/cold_hosts.h"
 #include "common/flow/host_estimate.h"
 #include "common/flow/response_score.h"
 
@@ -34,6 +35,8 @@
   kActive,
   /** No pool lists it any more; its open flows go on. */
   kLeft,
+  /** It is cold: it gets few new flows for a while. */
+  kCold,
 };
 
 /** @return the snake_case name of a kind. */
@@ -63,6 +66,9 @@
   /** It answered far later than its pool's median at the pool's last placement. */
   bool slow = false;
   HostEstimate estimate;
+  ColdAllotment cold;
+  /** It said anew how long it is cold. */
+  bool hasColdNews = false;
 
   bool isActive() const { return listed && spec.state == HostState::kActive; }
 };
@@ -74,6 +80,7 @@
 struct TokenPool {
   /** All that it lists, and those that left and are still remembered. Borrowed from TokenHosts. */
   std::vector<TokenHost*> hosts;
+  ColdLimit cold{};
   /** Answers of late by zone, of the hosts that aren't slow themselves. */
   std::map<std::string, ResponseScore, std::less<>> zones;
   /** Version of the catalogue that the pool is from, and when this node applied it. */
@@ -104,8 +111,16 @@
   /** @return the pool; nullptr where it has not arrived. Valid until the next change. */
   TokenPool* findPool(const std::string& name);
   const TokenPool* findPool(const std::string& name) const;
+  /** @param visit called with each pool; it must not change which there are. */
+  template <class Visit>
+  void forEachPool(const Visit& visit) const {
+    for (const auto& [name, pool] : pools_) {
+      visit(pool);
+    }
+  }
   /** @return hosts that some pool lists. */
   size_t listedCount() const;
+  size_t coldCount(TimePoint now) const;
 
  private:
   void admit(TimePoint now, const std::string& pool, const HostSpec& spec,
--- a/source/common/platform/store_read_status.h
+++ b/source/common/platform/store_read_status.h
@@ -23,6 +23,8 @@
   uint64_t answeredPeers = 0;
   /** Whether this node reads the store itself at present; otherwise it follows a peer. */
   bool readsStore = true;
+  /** Nodes of this node's zone that are known, itself included. */
+  uint32_t zoneNodes = 1;
   /** Whether calls fail at present. */
   bool failing = false;
   /** When the store last answered. */
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -53,7 +53,8 @@
 }
 
 TokenOptions optionsOf(const TokenNodeSettings& settings) {
-  return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds), settings.placement};
+  return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds), settings.placement,
+          settings.coldHosts};
 }
 
 }  // namespace
@@ -135,6 +136,9 @@
 
   void take(const CatalogChanges& news) {
     const TimePoint now = steadyNow();
+    if (hooks.storeStatus) {
+      director.setZoneNodes(hooks.storeStatus().zoneNodes);
+    }
     for (const CatalogChange& change : news.changes) {
       std::visit([&](const auto& object) { apply(now, news.version, object); }, change);
     }
@@ -162,10 +166,10 @@
     }
   }
 
-  void apply(TimePoint /*now*/, uint64_t version, const EvacuatedZones& evacuated) {
+  void apply(TimePoint now, uint64_t version, const EvacuatedZones& evacuated) {
     logEvacuations(version, evacuated);
     evacuatedZones = evacuated;
-    director.setEvacuatedZones(evacuated);
+    director.setEvacuatedZones(now, evacuated);
   }
 
   void logEvacuations(uint64_t version, const EvacuatedZones& fresh) const {
@@ -272,6 +276,7 @@
         director.serviceCount(),
         director.listedHostCount(),
         evacuatedZones.zones.size(),
+        director.coldHostCount(steadyNow()),
         path.counters(),
         port->counters(),
         flowLog.counters(),
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -139,6 +139,9 @@
   families.push_back(gaugeOf("umberhold_evacuated_zones",
                              "Zones that an operator has emptied: their hosts get no new flow",
                              static_cast<double>(metrics.evacuatedZones)));
+  families.push_back(gaugeOf("umberhold_cold_hosts",
+                             "Hosts that started a moment ago and bear few requests",
+                             static_cast<double>(metrics.coldHosts)));
   addPacketFamilies(metrics.packets, families);
   families.push_back(histogramFamily("umberhold_packet_seconds",
                                      "Time from a datagram's reading to the end of its handling",
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -27,6 +27,7 @@
   size_t services = 0;
   size_t hosts = 0;
   size_t evacuatedZones = 0;
+  size_t coldHosts = 0;
   const PacketCounters& packets;
   const UdpCounters& port;
   const FlowLogCounters& flows;
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -68,7 +68,7 @@
       values.push_back(*found);
     }
   }
-  void number(const char* key, uint32_t& value, int64_t highest) {
+  void number(const char* key, uint32_t& value, int64_t highest, int64_t lowest = 1) {
     const toml::node* node = find(key, false);
     if (node == nullptr) {
       return;
@@ -76,8 +76,9 @@
     const auto found = node->value_exact<int64_t>();
     if (!found) {
       fail(SettingsErrorCode::kWrongType, key, lineOf(*node), "a whole number");
-    } else if (*found < 1 || *found > highest) {
-      fail(SettingsErrorCode::kOutOfRange, key, lineOf(*node), "1 to " + std::to_string(highest));
+    } else if (*found < lowest || *found > highest) {
+      fail(SettingsErrorCode::kOutOfRange, key, lineOf(*node),
+           std::to_string(lowest) + " to " + std::to_string(highest));
     } else {
       value = static_cast<uint32_t>(*found);
     }
@@ -94,7 +95,8 @@
       value = *found;
     }
   }
-  void fraction(const char* key, double& value, double highest) {
+  /** @param mayBeZero whether 0 is a value of its own, or no sensible one. */
+  void fraction(const char* key, double& value, double highest, bool mayBeZero = false) {
     const toml::node* node = find(key, false);
     if (node == nullptr) {
       return;
@@ -102,9 +104,10 @@
     const auto found = node->value<double>();
     if (!found) {
       fail(SettingsErrorCode::kWrongType, key, lineOf(*node), "a number");
-    } else if (!(*found > 0.0) || *found > highest) {
+    } else if (!(mayBeZero ? *found >= 0.0 : *found > 0.0) || *found > highest) {
       fail(SettingsErrorCode::kOutOfRange, key, lineOf(*node),
-           "above 0, at most " + std::to_string(static_cast<int>(highest)));
+           std::string(mayBeZero ? "from 0 to " : "above 0, at most ") +
+               std::to_string(static_cast<int>(highest)));
     } else {
       value = *found;
     }
@@ -167,7 +170,7 @@
     reader.number("drain_bound_milliseconds", settings.drainBoundMilliseconds,
                   kLongestBoundMilliseconds);
     reader.number("evacuation_bound_milliseconds", settings.evacuationBoundMilliseconds,
-                  kLongestBoundMilliseconds);
+                  kLongestBoundMilliseconds, 0);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kLongestFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kLongestLingerMilliseconds);
     reader.flag("share_observations", settings.sharesObservations);
@@ -175,6 +178,8 @@
     reader.flag("prefer_own_zone", placement.prefersOwnZone);
     reader.fraction("weighed_ratio", placement.weighedRatio, kHighestRatio);
     reader.fraction("zone_leaves_ratio", placement.zoneLeavesRatio, kHighestRatio);
+    reader.fraction("cold_rate_factor", settings.coldHosts.rateFactor, kHighestRatio, true);
+    reader.fraction("cold_rate_allowance", settings.coldHosts.rateAllowance, kHighestRatio, true);
     reader.refuseOtherKeys();
     if (reader.error()) {
       return *reader.error();
@@ -223,6 +228,13 @@
   comparePlacement("prefer_own_zone", &PlacementOptions::prefersOwnZone);
   comparePlacement("weighed_ratio", &PlacementOptions::weighedRatio);
   comparePlacement("zone_leaves_ratio", &PlacementOptions::zoneLeavesRatio);
+  const auto compareCold = [&](const char* key, auto member) {
+    if (before.coldHosts.*member != after.coldHosts.*member) {
+      changes.push_back({key, false});
+    }
+  };
+  compareCold("cold_rate_factor", &ColdHostOptions::rateFactor);
+  compareCold("cold_rate_allowance", &ColdHostOptions::rateAllowance);
   return changes;
 }
 
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -8,6 +8,7 @@
 
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
+#include "common/flow/cold_hosts.h"
 #include "common/flow/placement_options.h"
 #include "common/settings/settings.h"
 
@@ -55,6 +56,8 @@
   bool sharesObservations = true;
   /** How hosts of a pool are compared for a new flow. */
   PlacementOptions placement{};
+  /** What cold hosts bear. */
+  ColdHostOptions coldHosts{};
 };
 
 /** A key whose value differs between two settings. */
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/flow/token_director_test.cc
@@ -1,6 +1,7 @@
 /** @file Flows without flow state: tokens name hosts, new flows are split and placed. */
 #include "common/flow/token_director.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -420,4 +421,43 @@
   CHECK_TRUE(run(40, true) >= 30);
 }
 
+/** An idle host draws the most flows, also right after its start. */
+TEST(TokenDirector, GivesAColdHostFewFlowsUntilItsTimeIsOver) {
+  HostSpec cold = makeHost(3);
+  cold.coldMilliseconds = 2000;
+  const HostPool pool{"dispatch", {makeHost(1), makeHost(2), cold}, {4.0, 2000}};
+  const auto changes = director.setPool(now, pool);
+  LONGS_EQUAL(1, std::count_if(changes.begin(), changes.end(), [](const HostChange& change) {
+                return change.kind == HostChangeKind::kCold;
+              }));
+  LONGS_EQUAL(1, director.coldHostCount(now));
+  int toCold = 0;
+  for (int step = 0; step < 19; ++step) {
+    now += milliseconds(100);
+    toCold += openMany(10)[3];
+    // A change of another host tells nothing new of this one.
+    director.setPool(now, pool);
+  }
+  CHECK_TRUE(toCold <= 1);
+  now += milliseconds(100);
+  CHECK_TRUE(openMany(60)[3] >= 20);
+}
+
+TEST(TokenDirector, HostsOfAZoneThatIsTakenBackCountAsCold) {
+  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2, "piassa")}, {4.0, 2000}});
+  director.setEvacuatedZones(now, {{"bole"}});
+  LONGS_EQUAL(0, openMany(20)[1]);
+  director.setEvacuatedZones(now, {});
+  CHECK_TRUE(openMany(20)[1] <= 1);
+  now += seconds(2);
+  CHECK_TRUE(openMany(20)[1] >= 15);
+}
+
+TEST(TokenDirector, RefusesWhereEveryHostIsInAnEvacuatedZone) {
+  director.setEvacuatedZones(now, {{"bole"}});
+  CHECK_TRUE(isRefused(open(++flows)));
+  director.setEvacuatedZones(now, {});
+  CHECK_FALSE(isRefused(open(++flows)));
+}
+
 }  // namespace umberhold
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -24,6 +24,8 @@
 change_bound_milliseconds = 5000
 drain_bound_milliseconds = 4000
 evacuation_bound_milliseconds = 5000
+cold_rate_factor = 2
+cold_rate_allowance = 0
 flow_life_seconds = 90
 linger_milliseconds = 3000
 share_observations = false
@@ -73,6 +75,8 @@
   CHECK_EQUAL(5000, read.changeBoundMilliseconds);
   CHECK_EQUAL(4000, read.drainBoundMilliseconds);
   CHECK_EQUAL(5000, read.evacuationBoundMilliseconds);
+  DOUBLES_EQUAL(2.0, read.coldHosts.rateFactor, 1e-9);
+  DOUBLES_EQUAL(0.0, read.coldHosts.rateAllowance, 1e-9);
   CHECK_EQUAL(90, read.flowLifeSeconds);
   CHECK_EQUAL(3000, read.lingerMilliseconds);
 }
--- a/test/platform/store/object_translation_test.cc
+++ b/test/platform/store/object_translation_test.cc
@@ -84,13 +84,15 @@
 TEST(ObjectTranslation, KeepsReadableObjectsBesideAnUnreadableOne) {
   const auto page = decodePage(StoreKind::kHosts, R"({"items":[
     {"meta":{"name":"i-1","revision":4},"spec":{"service":"s-one","address":"10.0.0.1:80",
-     "zone":"bole","version":"v1","slots":2,"state":"draining","cold_remaining_ms":0,"sequence":4}},
+     "zone":"bole","version":"v1","slots":2,"state":"draining","cold_remaining_ms":1250,"sequence":4}},
     {"meta":{"name":"i-2","revision":5},"spec":{"service":"s-one"}},
     {"meta":{"name":"i-3","revision":6},"spec":null}],"more":true,"at":9})");
   CHECK_TRUE(isOk(page));
   CHECK_TRUE(valueOf(page).more);
   const auto& host = std::get<RegisteredHost>(valueOf(page).objects[0].specification);
   CHECK_TRUE(host.draining);
+  LONGS_EQUAL(1250, host.coldMilliseconds);
+  LONGS_EQUAL(1250, toRegisteredHost(*toRegistration(host, 4, 4)).coldMilliseconds);
   CHECK_TRUE(std::holds_alternative<Unreadable>(valueOf(page).objects[1].specification));
   CHECK_TRUE(std::holds_alternative<Unreadable>(valueOf(page).objects[2].specification));
 }
@@ -175,3 +177,25 @@
   LONGS_EQUAL(1, objects.changesSince(objects.version() - 1)->changes.size());
   CHECK_TRUE(objects.changesSince(objects.version())->changes.empty());
 }
+
+TEST(ObjectTranslation, TellsHowColdHostsAreOnlyWhereTheirServiceHasALimitForIt) {
+  const auto page = decodePage(StoreKind::kConfiguration, R"({"items":[{"meta":{"name":"main",
+    "revision":12},"spec":{"version":1,"routes":[],"services":[
+    {"name":"s-one","max_connections":9,"cold_start_s":2.5,"cold_per_s":8},
+    {"name":"s-two","max_connections":9,"cold_start_s":2.0,"cold_per_s":0.0}]}}],
+    "more":false,"at":12})");
+  CHECK_TRUE(isOk(page));
+  const auto again = decodePage(StoreKind::kConfiguration, encodePage(valueOf(page)));
+  CHECK_TRUE(isOk(again));
+  const auto& read = std::get<Configuration>(valueOf(again).objects.front().specification);
+  CHECK_TRUE(read == std::get<Configuration>(valueOf(page).objects.front().specification));
+  HostSpec host;
+  host.coldMilliseconds = 700;
+  const HostPool limited = withLimits({"s-one", {host}}, read);
+  DOUBLES_EQUAL(8.0, limited.cold.requestsPerSecond, 1e-9);
+  LONGS_EQUAL(2500, limited.cold.startMilliseconds);
+  LONGS_EQUAL(700, limited.hosts.front().coldMilliseconds);
+  const HostPool usual = withLimits({"s-two", {host}}, read);
+  CHECK_TRUE(usual.cold == ColdLimit{});
+  LONGS_EQUAL(0, usual.hosts.front().coldMilliseconds);
+}
