--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -45,8 +45,8 @@
   uint32_t changeBoundMilliseconds = 3000;
   /** A host that drains must get no new flow this long after the store has it, milliseconds. */
   uint32_t drainBoundMilliseconds = 3000;
-  /** An evacuated zone's hosts must get no new flow this long after the store has it, milliseconds; 0
-   * where the platform has no evacuations. */
+  /** An evacuated zone's hosts must get no new flow this long after the store has it, milliseconds;
+   * 0 where the platform has no evacuations. */
   uint32_t evacuationBoundMilliseconds = 0;
   /** No flow lives longer, seconds. */
   uint32_t flowLifeSeconds = 60;
--- a/test/platform/store/standin_store.cc
+++ b/test/platform/store/standin_store.cc
@@ -12,6 +12,7 @@
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
 #include <functional>
 #include <sstream>
 #include <thread>
@@ -21,6 +22,9 @@
 namespace umberhold::test {
 namespace {
 
+/** Of "/api/objects/KIND"; a path with a name has one more. */
+constexpr int kSlashesOfList = 3;
+
 using Poco::Net::HTTPResponse;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
@@ -157,6 +161,8 @@
       ++calls.others;
     } else if (queryNumber(request, "watch")) {
       ++calls.watches;
+    } else if (std::count(request.getURI().begin(), request.getURI().end(), '/') > kSlashesOfList) {
+      ++calls.reads;
     } else {
       ++(queryNumber(request, "stale") ? calls.staleLists : calls.lists);
     }
--- a/test/platform/store/standin_store.h
+++ b/test/platform/store/standin_store.h
@@ -43,6 +43,8 @@
   uint64_t lists = 0;
   uint64_t staleLists = 0;
   uint64_t watches = 0;
+  /** Of single objects, by name. */
+  uint64_t reads = 0;
   uint64_t others = 0;
   uint64_t connections = 0;
 };
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -401,6 +401,22 @@
   CHECK_TRUE(allKnow({{"bole"}}, 2 * kBound));
 }
 
+/** While probes go unanswered, nodes are not listed; a follower stops probing once its reader is
+ * back. */
+TEST(ZoneReader, FollowersGoOnListingTheZonesNodesAfterAnOutage) {
+  startAll(kFewestNodes);
+  test::StandinFaults down;
+  down.mood = test::StoreMood::kReset;
+  store.setFaults(down);
+  std::this_thread::sleep_for(2 * kBound);
+  store.setFaults({});
+  CHECK_TRUE(soon([this] { return readers() == 1; }, seconds(20)));
+  const uint64_t lists = store.calls().staleLists;
+  // Each node lists them once a second here.
+  CHECK_TRUE(
+      soon([&] { return store.calls().staleLists >= lists + 3 * kFewestNodes; }, seconds(5)));
+}
+
 TEST(ZoneReader, ASmallZoneHasNoReader) {
   for (uint32_t number = 1; number <= 5; ++number) {
     nodes.push_back(std::make_unique<Node>(number, store.address()));
