Keep what an older peer says of evacuations from a node that knows more

Cause: a node whose list no longer held an evacuation knew nothing of the zone; a peer that lagged behind that list told the evacuation again, and where the node then read the store itself nothing ended it. Ruled out: the order of events within a watch, which holds. Change: the set carries the version up to which everything is known; an older whole tells nothing.

--- a/source/common/platform/zone_evacuations.cc
+++ b/source/common/platform/zone_evacuations.cc
@@ -1,5 +1,6 @@
 #include "common/platform/zone_evacuations.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace umberhold {
@@ -12,7 +13,15 @@
   set(zone, {version, false});
 }
 
+void ZoneEvacuations::onKnownUpTo(uint64_t version) {
+  knownUpTo_ = std::max(knownUpTo_, version);
+}
+
 void ZoneEvacuations::onWhole(const EvacuatedZones& whole, uint64_t version) {
+  if (version < knownUpTo_) {
+    return;
+  }
+  knownUpTo_ = version;
   for (const std::string& zone : whole.zones) {
     set(zone, {version, true});
   }
--- a/test/common/platform/zone_evacuations_test.cc
+++ b/test/common/platform/zone_evacuations_test.cc
@@ -45,6 +45,15 @@
   CHECK_TRUE(isEvacuated("merkato"));
 }
 
+/** A node whose list did not hold the zone any more, and a peer that lags. */
+TEST(ZoneEvacuations, AWholeThatIsOlderThanWhatIsKnownTellsNothing) {
+  evacuations.onKnownUpTo(35);
+  evacuations.onWhole({{"bole"}}, 30);
+  CHECK_FALSE(isEvacuated("bole"));
+  evacuations.onWhole({{"bole"}}, 40);
+  CHECK_TRUE(isEvacuated("bole"));
+}
+
 /** Events of one watch come in order, and all as of the answer. */
 TEST(ZoneEvacuations, OfTheSameVersionTheLastCounts) {
   evacuations.onWhole({{"bole"}}, 40);
