Let leaving hosts of the soak outlive their bound for longer

Ruled out: the nodes (they have no part in the redirection). Change: 0.5 to 2 times the bound. That is stricter: a node that fills leaving hosts has more time to be seen.

--- a/test/soak/world/host_fleet.cc
+++ b/test/soak/world/host_fleet.cc
@@ -9,6 +9,10 @@
 
 constexpr uint32_t kSlots = 60;
 constexpr uint32_t kHeartbeatsUntilGone = 3;
+/** How long a host that leaves outlives its bound, as a part of it. What reaches it then shows a
+ * fault: with 0 to 1 times, a sabotage that sends it openings went unseen in 1 of 3 runs. */
+constexpr double kShortestStay = 0.5;
+constexpr double kLongestStay = 2.0;
 /** Every so many-th host that leaves loses its entry without saying that it drains. */
 constexpr uint64_t kSilentLeavers = 3;
 
@@ -88,7 +92,8 @@
   HostSlot& leaving = slots_[slot];
   leaving.leavesSilently = random_.below(kSilentLeavers) == 0;
   leaving.leavesSince = now;
-  leaving.endsAt = now + plan_.bounds().drain + partOf(plan_.bounds().drain, random_.unit());
+  const double outlives = kShortestStay + (kLongestStay - kShortestStay) * random_.unit();
+  leaving.endsAt = now + plan_.bounds().drain + partOf(plan_.bounds().drain, outlives);
   if (leaving.leavesSilently) {
     withdraw(leaving);
   } else {
