--- /dev/null
+++ b/source/common/flow/dead_host_flows.cc
@@ -0,0 +1,40 @@
+#include "common/flow/dead_host_flows.h"
+
+namespace umberhold {
+
+void DeadHostFlows::onEnded(TimePoint now, const std::set<uint32_t>& tokens) {
+  if (tokens.empty()) {
+    return;
+  }
+  add(recent_.take(now - flowLife_,
+                   [&](const RecentFlow& flow) { return tokens.contains(flow.token); }),
+      RefusalReason::kHostEnded);
+}
+
+void DeadHostFlows::onSilent(TimePoint now, const std::set<uint32_t>& tokens,
+                             const std::function<bool(ServiceId)>& isRepeatable) {
+  if (tokens.empty()) {
+    return;
+  }
+  add(recent_.take(now - flowLife_, [&](const RecentFlow& flow) {
+    return tokens.contains(flow.token) && (!flow.underWay || isRepeatable(flow.service));
+  }),
+      RefusalReason::kHostSilent);
+}
+
+void DeadHostFlows::add(const std::vector<RecentFlow>& flows, RefusalReason reason) {
+  for (const RecentFlow& flow : flows) {
+    pending_.push_back({flow.key, flow.acknowledged, reason});
+  }
+}
+
+std::vector<ResetFlow> DeadHostFlows::take() {
+  std::vector<ResetFlow> taken;
+  while (!pending_.empty() && taken.size() < kMostAtOnce) {
+    taken.push_back(pending_.front());
+    pending_.pop_front();
+  }
+  return taken;
+}
+
+}  // namespace umberhold
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -117,6 +117,13 @@
 struct RefuseFlow {
   RefusalReason reason = RefusalReason::kNoHost;
 };
+/** Answer the caller of a flow although it sent no packet: its host is dead. */
+struct ResetFlow {
+  FlowKey key;
+  /** What the caller acknowledged last, as far as this node saw. */
+  uint32_t acknowledged = 0;
+  RefusalReason reason = RefusalReason::kHostEnded;
+};
 /** The director keeps a copy (it was given the bytes) and releases it by a HeldPacketSink. */
 struct HoldPacket {};
 /** Drop and count. */
--- a/source/common/flow/flow_placement.cc
+++ b/source/common/flow/flow_placement.cc
@@ -55,7 +55,7 @@
     candidate.host = host;
     candidate.otherZone = options_.prefersOwnZone && host->spec.zone != zone_;
     candidate.silent =
-        host->estimate.isSilent(now) ||
+        host->isDead(now) || host->estimate.isSilent(now) ||
         (!silentZones_.isEmpty() && silentZones_.isSilent(now, host->pool, host->spec.zone));
     candidate.avoided = host->token == avoided;
     candidate.vanished = !host->listed;
--- a/source/common/flow/host_estimate.h
+++ b/source/common/flow/host_estimate.h
@@ -29,6 +29,13 @@
     }
     silentUntil_ = now + silentTime_;
   }
+  /** Others find the host silent as well. */
+  void onReportedSilent(TimePoint now) {
+    if (!isSilent(now)) {
+      unanswered_ = std::max(unanswered_, kSilentAfter - 1);
+      onUnanswered(now);
+    }
+  }
   /** A caller went on with a flow: the host has answered. */
   void onAnswered(TimePoint now) {
     unanswered_ = 0;
--- /dev/null
+++ b/source/common/flow/recent_flows.h
@@ -0,0 +1,76 @@
+/**
+ * @file The flows that passed this node of late, found again by their host.
+ *
+ * A caller that keeps a flow for many requests learns of its host's death only by its next request.
+ * That request is lost where it may not be sent twice. So the node remembers the flows that it
+ * carried: when a host is dead, the callers of its flows get a reset while they rest, and send
+ * their next request on a new flow.
+ */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "common/base/strong_id.h"
+#include "common/base/time.h"
+#include "common/flow/flow_director.h"
+
+namespace umberhold {
+
+/** A flow that a node carried. */
+struct RecentFlow {
+  FlowKey key;
+  ServiceId service;
+  /** Flow token of its host. */
+  uint32_t token = 0;
+  /** What its caller acknowledged last, as far as this node saw. */
+  uint32_t acknowledged = 0;
+  /** The caller sent data and has acknowledged nothing new since. */
+  bool underWay = false;
+};
+
+/**
+ * Remembers 8,192 flows in 0.6 MB, whatever the number that a node carries. Where more are open,
+ * those that were silent the longest are forgotten first, within sets of four. Not thread safe.
+ */
+class RecentFlows {
+ public:
+  RecentFlows();
+
+  /** @param packet in a format that tells sequence numbers. An opening begins another flow with the
+   * same addresses: what was known of the last one is forgotten. */
+  void note(TimePoint now, const FlowPacket& packet);
+  /** @return the flows that were seen since `oldest` and for which `isWanted` holds; they are
+   * forgotten. */
+  template <class Predicate>
+  std::vector<RecentFlow> take(TimePoint oldest, const Predicate& isWanted) {
+    std::vector<RecentFlow> taken;
+    for (Entry& entry : *entries_) {
+      if (entry.flow.token != 0 && entry.at >= oldest && isWanted(entry.flow)) {
+        taken.push_back(entry.flow);
+        entry = Entry{};
+      }
+    }
+    return taken;
+  }
+
+  static constexpr size_t kCapacity = 8192;
+
+ private:
+  struct Entry {
+    FlowHash hash;
+    RecentFlow flow;
+    TimePoint at{};
+  };
+  static constexpr size_t kWays = 4;
+
+  /** @return the flow's entry, or the one that it takes over. */
+  Entry& entryFor(FlowHash hash);
+
+  std::unique_ptr<std::array<Entry, kCapacity>> entries_;
+};
+
+}  // namespace umberhold
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -14,6 +14,15 @@
 /** A flow is refused no sooner than at this copy of a packet; see HostEstimate::isDeadSince. */
 constexpr uint32_t kCopiesOfSilentHost = 3;
 constexpr double kPercent = 100.0;
+/** Callers of this node alone whose data a host leaves unacknowledged, without a sign of life
+ * since, before it counts as dead. Where nodes share what they see, two nodes are needed and three
+ * copies: see ZoneSilence. */
+constexpr size_t kCallersOfDeadHost = 3;
+/** How long a host counts as dead by one piece of news. */
+constexpr Duration kDeadTime = std::chrono::seconds(3);
+/** Of a pool's hosts no more than this part counts as dead by silence: where more seem so, it is
+ * this node, or its zone, that is cut off. */
+constexpr double kMostDeadPart = 0.5;
 /** Samples that are kept for others; nobody takes them where the node tells nobody. */
 constexpr size_t kMostSamples = 1024;
 /** A request that waits so many times longer than usual counts as the worst sample. */
@@ -31,11 +40,13 @@
       zone_(std::move(options.zone)),
       coldHosts_(options.coldHosts),
       hosts_(options.flowLife),
-      placement_(zone_, options.placement, random) {}
+      placement_(zone_, options.placement, random),
+      deadHostFlows_(options.flowLife) {}
 
 std::vector<HostChange> TokenDirector::setPool(TimePoint now, const HostPool& pool,
                                                uint64_t version) {
   std::vector<HostChange> changes = hosts_.setPool(now, pool, version);
+  noteEnded(now, changes);
   const TokenPool& entry = *hosts_.findPool(pool.name);
   for (TokenHost* host : entry.hosts) {
     if (std::exchange(host->hasColdNews, false) &&
@@ -46,6 +57,23 @@
   return changes;
 }
 
+std::vector<HostChange> TokenDirector::removePool(TimePoint now, const std::string& name,
+                                                  uint64_t version) {
+  std::vector<HostChange> changes = hosts_.removePool(now, name, version);
+  noteEnded(now, changes);
+  return changes;
+}
+
+void TokenDirector::noteEnded(TimePoint now, const std::vector<HostChange>& changes) {
+  std::set<uint32_t> ended;
+  for (const HostChange& change : changes) {
+    if (change.kind == HostChangeKind::kEnded) {
+      ended.insert(flowTokenOf(change.host.incarnation));
+    }
+  }
+  deadHostFlows_.onEnded(now, ended);
+}
+
 void TokenDirector::setEvacuatedZones(TimePoint now, EvacuatedZones zones) {
   hosts_.forEachPool([&](const TokenPool& pool) {
     for (TokenHost* host : pool.hosts) {
@@ -115,6 +143,7 @@
   if (service == services_.end()) {
     return DropPacket{DropReason::kUnknownService};
   }
+  deadHostFlows_.note(now, packet);
   const uint32_t avoided = noteRepeat(now, packet);
   TokenHost* host = place(now, service->second, avoided);
   if (host == nullptr) {
@@ -143,8 +172,12 @@
   if (openings_.onFollowed(packet.hash, packet.token)) {
     noteAnswered(now, *host);
   }
+  deadHostFlows_.note(now, packet);
   noteResponse(now, packet, *host);
-  if (noteProgress(now, packet, *host)) {
+  const bool isLost = noteProgress(now, packet, *host);
+  const bool isSentInVain =
+      packet.dataBytes > 0 && host->isDead(now) && isRepeatable(packet.service);
+  if (isLost || isSentInVain) {
     return RefuseFlow{RefusalReason::kHostSilent};
   }
   host->estimate.onPacket(now);
@@ -217,9 +250,78 @@
     return false;
   }
   noteUnanswered(now, host);
-  const auto service = services_.find(packet.service);
+  host.silence.onCopy(now, progress.firstAt, packet.key.caller.address);
+  noteSign(host);
+  if (host.silence.callers() >= kCallersOfDeadHost) {
+    noteDead(now, {host.token});
+  }
   return progress.copies >= kCopiesOfSilentHost && host.estimate.isDeadSince(progress.firstAt) &&
-         service != services_.end() && service->second.repeatable;
+         isRepeatable(packet.service);
+}
+
+bool TokenDirector::isRepeatable(ServiceId service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.repeatable;
+}
+
+void TokenDirector::noteSign(TokenHost& host) {
+  if (!std::exchange(host.hasSigns, true)) {
+    changedSigns_.push_back(host.token);
+  }
+}
+
+std::vector<HostSigns> TokenDirector::takeSigns() {
+  std::vector<HostSigns> signs;
+  for (const uint32_t token : std::exchange(changedSigns_, {})) {
+    if (TokenHost* host = hosts_.find(token)) {
+      host->hasSigns = false;
+      signs.push_back(host->silence.signs(token));
+    }
+  }
+  return signs;
+}
+
+void TokenDirector::learnSilent(TimePoint now, const std::vector<SilentHost>& silentHosts) {
+  std::set<uint32_t> dead;
+  for (const SilentHost& silent : silentHosts) {
+    const TokenHost* host = hosts_.find(silent.token);
+    const TimePoint since = now - std::chrono::milliseconds(silent.silentMilliseconds);
+    if (host != nullptr && host->silence.answeredAt().value_or(TimePoint{}) < since) {
+      dead.insert(silent.token);
+    }
+  }
+  noteDead(now, dead);
+}
+
+void TokenDirector::noteDead(TimePoint now, const std::set<uint32_t>& tokens) {
+  std::set<uint32_t> dead;
+  for (const uint32_t token : tokens) {
+    TokenHost* host = hosts_.find(token);
+    if (host == nullptr || !leavesEnough(now, host->pool, tokens)) {
+      continue;
+    }
+    host->estimate.onReportedSilent(now);
+    host->deadUntil = now + kDeadTime;
+    dead.insert(token);
+  }
+  deadHostFlows_.onSilent(now, dead, [this](ServiceId service) { return isRepeatable(service); });
+}
+
+bool TokenDirector::leavesEnough(TimePoint now, const std::string& pool,
+                                 const std::set<uint32_t>& tokens) const {
+  const TokenPool* entry = hosts_.findPool(pool);
+  if (entry == nullptr) {
+    return false;
+  }
+  size_t active = 0;
+  size_t dead = 0;
+  for (const TokenHost* host : entry->hosts) {
+    if (host->isActive()) {
+      ++active;
+      dead += host->isDead(now) || tokens.contains(host->token) ? 1 : 0;
+    }
+  }
+  return static_cast<double>(dead) <= kMostDeadPart * static_cast<double>(active);
 }
 
 uint32_t TokenDirector::noteRepeat(TimePoint now, const FlowPacket& packet) {
@@ -238,6 +340,9 @@
 
 void TokenDirector::noteAnswered(TimePoint now, TokenHost& host) {
   host.estimate.onAnswered(now);
+  host.silence.onAnswered(now);
+  host.deadUntil = TimePoint{};
+  noteSign(host);
   SilentZones& silent = placement_.silentZones();
   if (!silent.isEmpty()) {
     silent.onAnswered(host.pool, host.spec.zone);
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -18,6 +19,7 @@
 
 #include "common/base/random.h"
 #include "common/config/service.h"
+#include "common/flow/dead_host_flows.h"
 #include "common/flow/flow_director.h"
 #include "common/flow/flow_placement.h"
 #include "common/flow/flow_progress.h"
@@ -64,16 +66,17 @@
    * @return what changed for its hosts.
    */
   std::vector<HostChange> setPool(TimePoint now, const HostPool& pool, uint64_t version = 0);
-  std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version = 0) {
-    return hosts_.removePool(now, name, version);
-  }
+  std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version = 0);
   /** Hosts of these zones get no new flow; their open ones go on. Those of a zone that is taken
    * back count as cold: they may say so only later. */
   void setEvacuatedZones(TimePoint now, EvacuatedZones zones);
   /** Nodes of this node's zone, itself included. */
   void setZoneNodes(uint32_t nodes) { zoneNodes_ = nodes; }
   /** No flow lives longer from now on; see TokenOptions. */
-  void setFlowLife(Duration flowLife) { hosts_.setFlowLife(flowLife); }
+  void setFlowLife(Duration flowLife) {
+    hosts_.setFlowLife(flowLife);
+    deadHostFlows_.setFlowLife(flowLife);
+  }
 
   // FlowDirector
   FlowDecision decide(TimePoint now, const FlowPacket& packet, std::string_view bytes) override;
@@ -89,6 +92,15 @@
   std::vector<HostSample> takeSamples() { return std::exchange(samples_, {}); }
   /** What the nodes of the zone together say of hosts. */
   void learn(TimePoint now, const std::vector<HostStanding>& standings);
+  /** Hosts are silent to all nodes of the zone. */
+  void learnSilent(TimePoint now, const std::vector<SilentHost>& silentHosts);
+  /** @return what hosts acknowledged or not, of those where that changed since the last call. */
+  std::vector<HostSigns> takeSigns();
+
+  /** @return flows of dead hosts whose callers are to get a reset now. */
+  std::vector<ResetFlow> takeResets() { return deadHostFlows_.take(); }
+  /** @return whether takeResets() has more to give. */
+  bool hasResets() const { return deadHostFlows_.hasPending(); }
 
   size_t serviceCount() const { return services_.size(); }
   /** @return hosts that some pool lists. */
@@ -109,6 +121,8 @@
     bool repeatable = false;
     UsualResponseTime usualTime;
   };
+  /** Flows of hosts that a change showed to have ended are to be reset. */
+  void noteEnded(TimePoint now, const std::vector<HostChange>& changes);
   /** @param remaining how much longer the host is cold. @return whether it was not cold before. */
   bool beginCold(TimePoint now, const TokenPool& pool, TokenHost& host, Duration remaining);
   FlowDecision open(TimePoint now, const FlowPacket& packet);
@@ -119,6 +133,12 @@
   /** Learns from the packet how long the host took for its request. */
   void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
   void noteSample(TimePoint now, TokenHost& host, double ratio);
+  void noteSign(TokenHost& host);
+  /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
+  void noteDead(TimePoint now, const std::set<uint32_t>& tokens);
+  /** @return whether at most half of the pool's hosts would be dead with these. */
+  bool leavesEnough(TimePoint now, const std::string& pool, const std::set<uint32_t>& tokens) const;
+  bool isRepeatable(ServiceId service) const;
   /** The host left a caller without an answer, or gave one. */
   void noteUnanswered(TimePoint now, TokenHost& host);
   void noteAnswered(TimePoint now, TokenHost& host);
@@ -144,7 +164,10 @@
   OpeningWatch openings_;
   FlowProgress progress_;
   RequestTimer timer_;
+  DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
+  /** Tokens of the hosts whose signs changed; each once. */
+  std::vector<uint32_t> changedSigns_;
 };
 
 }  // namespace umberhold
--- a/source/common/flow/token_hosts.cc
+++ b/source/common/flow/token_hosts.cc
@@ -24,6 +24,8 @@
       return "left";
     case HostChangeKind::kCold:
       return "cold";
+    case HostChangeKind::kEnded:
+      return "ended";
   }
   return "unknown";
 }
@@ -48,7 +50,7 @@
     admit(now, pool.name, spec, changes);
   }
   markLeft(now, pool, changes);
-  settleEnded();
+  settleEnded(changes);
   forgetOld(now);
   indexByPool();
   return changes;
@@ -102,7 +104,7 @@
   }
 }
 
-void TokenHosts::settleEnded() {
+void TokenHosts::settleEnded(std::vector<HostChange>& changes) {
   std::unordered_map<Endpoint, TimePoint> newest;
   for (const auto& [token, host] : hosts_) {
     if (host.isActive()) {
@@ -112,7 +114,11 @@
   }
   for (auto& [token, host] : hosts_) {
     const auto other = host.isActive() ? newest.end() : newest.find(host.spec.endpoint);
-    host.ended = other != newest.end() && other->second > host.firstSeen;
+    const bool ended = other != newest.end() && other->second > host.firstSeen;
+    if (ended && !host.ended) {
+      changes.push_back({HostChangeKind::kEnded, host.pool, host.spec});
+    }
+    host.ended = ended;
   }
 }
 
--- a/source/common/flow/token_hosts.h
+++ b/source/common/flow/token_hosts.h
@@ -19,6 +19,7 @@
 #include "common/flow/cold_hosts.h"
 #include "common/flow/host_estimate.h"
 #include "common/flow/response_score.h"
+#include "common/flow/silence_evidence.h"
 
 namespace umberhold {
 
@@ -37,6 +38,8 @@
   kLeft,
   /** It is cold: it gets few new flows for a while. */
   kCold,
+  /** It left, and a host that appeared later has its endpoint. */
+  kEnded,
 };
 
 /** @return the snake_case name of a kind. */
@@ -66,10 +69,16 @@
   /** It answered far later than its pool's median at the pool's last placement. */
   bool slow = false;
   HostEstimate estimate;
+  SilenceEvidence silence;
+  /** It is silent to several nodes or flows: until then it counts as dead, unless it answers. */
+  TimePoint deadUntil{};
+  /** Its signs changed since they were last taken. */
+  bool hasSigns = false;
   ColdAllotment cold;
   /** It said anew how long it is cold. */
   bool hasColdNews = false;
 
+  bool isDead(TimePoint now) const { return now < deadUntil; }
   bool isActive() const { return listed && spec.state == HostState::kActive; }
 };
 
@@ -129,7 +138,7 @@
   void markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes);
   /** Finds the hosts that have ended: a later one has their endpoint. Of two hosts in one list
    * neither counts as later. */
-  void settleEnded();
+  void settleEnded(std::vector<HostChange>& changes);
   void forgetOld(TimePoint now);
   /** Rebuilds the pools' lists of hosts. */
   void indexByPool();
--- a/source/common/health/host_observations.cc
+++ b/source/common/health/host_observations.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "common/health/zone_silence.h"
+
 namespace umberhold {
 namespace {
 
@@ -65,6 +67,7 @@
 
 ReportOutcome ZoneObservations::merge(TimePoint now, const HostReport& report) {
   const bool isSane = report.hosts.size() <= kMostReportedHosts &&
+                      report.signs.size() <= kMostReportedSigns &&
                       std::all_of(report.hosts.begin(), report.hosts.end(), isValid);
   if (!isSane) {
     return ReportOutcome::kInvalid;
--- a/source/common/health/observation_exchange.cc
+++ b/source/common/health/observation_exchange.cc
@@ -1,5 +1,6 @@
 #include "common/health/observation_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/base/hash.h"
@@ -12,40 +13,74 @@
 constexpr Duration kAskedFor = std::chrono::seconds(5);
 /** How often a node that is asked adds its own samples, as others do by their polls. */
 constexpr Duration kOwnInterval = std::chrono::seconds(1);
+/** The same while a host leaves data unacknowledged. */
+constexpr Duration kUrgentInterval = std::chrono::milliseconds(100);
+
+bool isUrgent(const std::vector<HostSigns>& signs) {
+  return std::any_of(signs.begin(), signs.end(),
+                     [](const HostSigns& sign) { return sign.copies > 0; });
+}
 
 }  // namespace
 
 ObservationExchange::ObservationExchange(std::string_view nodeName)
     : gatherer_(hashBytes(nodeName)) {}
 
-void ObservationExchange::add(TimePoint now, const std::vector<HostSample>& samples) {
-  const std::lock_guard lock(mutex_);
-  gatherer_.add(samples);
-  const bool isAsked = askedAt_ && now - *askedAt_ <= kAskedFor;
-  if (isAsked && now - mergedOwnAt_ >= kOwnInterval) {
-    mergeOwn(now);
+void ObservationExchange::add(TimePoint now, const std::vector<HostSample>& samples,
+                              const std::vector<HostSigns>& signs) {
+  const bool urgent = isUrgent(signs);
+  bool isAsked = false;
+  {
+    const std::lock_guard lock(mutex_);
+    gatherer_.add(samples);
+    signs_.add(signs);
+    isAsked = askedAt_ && now - *askedAt_ <= kAskedFor;
+    if (isAsked && now - mergedOwnAt_ >= (urgent ? kUrgentInterval : kOwnInterval)) {
+      mergeOwn(now);
+    }
+  }
+  if (urgent && !isAsked && notifyUrgent_) {
+    notifyUrgent_();
   }
 }
 
 void ObservationExchange::mergeOwn(TimePoint now) {
   mergedOwnAt_ = now;
-  zone_.merge(now, gatherer_.takeReport(now));
-  news_ = zone_.standings(now);
+  mergeReport(now, takeOwnReport(now));
+  news_ = newsNow(now);
+}
+
+HostReport ObservationExchange::takeOwnReport(TimePoint now) {
+  HostReport report = gatherer_.takeReport(now);
+  report.signs = signs_.take(now);
+  return report;
+}
+
+ReportOutcome ObservationExchange::mergeReport(TimePoint now, const HostReport& report) {
+  const ReportOutcome outcome = zone_.merge(now, report);
+  if (outcome == ReportOutcome::kTaken) {
+    silence_.merge(now, report.reporter, report.signs);
+  }
+  return outcome;
+}
+
+ZoneNews ObservationExchange::newsNow(TimePoint now) {
+  return {zone_.standings(now), silence_.silentHosts(now)};
 }
 
-std::optional<std::vector<HostStanding>> ObservationExchange::takeNews() {
+std::optional<ZoneNews> ObservationExchange::takeNews() {
   const std::lock_guard lock(mutex_);
   return std::exchange(news_, std::nullopt);
 }
 
 HostReport ObservationExchange::takeReport(TimePoint now) {
   const std::lock_guard lock(mutex_);
-  return gatherer_.takeReport(now);
+  return takeOwnReport(now);
 }
 
-void ObservationExchange::learn(std::vector<HostStanding> standings) {
+void ObservationExchange::learn(ZoneNews news) {
   const std::lock_guard lock(mutex_);
-  news_ = std::move(standings);
+  news_ = std::move(news);
 }
 
 void ObservationExchange::merge(TimePoint now, std::string_view bytes) {
@@ -53,13 +88,13 @@
   const std::lock_guard lock(mutex_);
   askedAt_ = now;
   const ReportOutcome outcome =
-      isOk(report) ? zone_.merge(now, valueOf(report)) : ReportOutcome::kMalformed;
+      isOk(report) ? mergeReport(now, valueOf(report)) : ReportOutcome::kMalformed;
   ++counters_[static_cast<size_t>(outcome)];
 }
 
-std::vector<HostStanding> ObservationExchange::standings(TimePoint now) {
+ZoneNews ObservationExchange::news(TimePoint now) {
   const std::lock_guard lock(mutex_);
-  return zone_.standings(now);
+  return newsNow(now);
 }
 
 ReportCounters ObservationExchange::counters() const {
--- a/source/common/health/observation_exchange.h
+++ b/source/common/health/observation_exchange.h
@@ -6,18 +6,29 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/health/host_observations.h"
+#include "common/health/zone_silence.h"
 
 namespace umberhold {
 
 /** Reports that this node was sent, by outcome. */
 using ReportCounters = std::array<uint64_t, static_cast<size_t>(ReportOutcome::kCount)>;
 
+/** What a zone's nodes together say of hosts. */
+struct ZoneNews {
+  /** Hosts that answer late. */
+  std::vector<HostStanding> standings;
+  /** Hosts that are silent to all. */
+  std::vector<SilentHost> silentHosts;
+};
+
 /** Thread safe; no call blocks for longer than another one takes. */
 class ObservationExchange {
  public:
@@ -25,20 +36,24 @@
   explicit ObservationExchange(std::string_view nodeName);
 
   // The packets' thread.
-  /** This node's own samples. */
-  void add(TimePoint now, const std::vector<HostSample>& samples);
+  /** This node's own samples and signs. */
+  void add(TimePoint now, const std::vector<HostSample>& samples,
+           const std::vector<HostSigns>& signs);
   /** @return what the zone's nodes together say, where that is newer than at the last call. */
-  std::optional<std::vector<HostStanding>> takeNews();
+  std::optional<ZoneNews> takeNews();
+  /** @param notify called on the packets' thread when there is something that others should hear
+   * of at once: a host left data unacknowledged. Set it before the first add(). */
+  void setUrgent(std::function<void()> notify) { notifyUrgent_ = std::move(notify); }
 
   // A node that asks a peer.
   HostReport takeReport(TimePoint now);
   /** The peer's answer to the report. */
-  void learn(std::vector<HostStanding> standings);
+  void learn(ZoneNews news);
 
   // A node that is asked.
   /** @param bytes a report as encoded by encodeHostReport(). */
   void merge(TimePoint now, std::string_view bytes);
-  std::vector<HostStanding> standings(TimePoint now);
+  ZoneNews news(TimePoint now);
   ReportCounters counters() const;
 
  private:
@@ -46,9 +61,16 @@
   void mergeOwn(TimePoint now);
 
   mutable std::mutex mutex_;
+  HostReport takeOwnReport(TimePoint now);
+  ReportOutcome mergeReport(TimePoint now, const HostReport& report);
+  ZoneNews newsNow(TimePoint now);
+
   SampleGatherer gatherer_;
+  SignGatherer signs_;
   ZoneObservations zone_;
-  std::optional<std::vector<HostStanding>> news_;
+  ZoneSilence silence_;
+  std::optional<ZoneNews> news_;
+  std::function<void()> notifyUrgent_;
   ReportCounters counters_{};
   /** When a peer last reported; none where none did. */
   std::optional<TimePoint> askedAt_;
--- /dev/null
+++ b/source/common/health/zone_silence.cc
@@ -0,0 +1,108 @@
+#include "common/health/zone_silence.h"
+
+#include <algorithm>
+#include <set>
+
+namespace umberhold {
+namespace {
+
+/** Copies and reports older than this say nothing of the host as it is now. */
+constexpr Duration kWindow = std::chrono::seconds(3);
+constexpr size_t kFewestReporters = 2;
+/** One caller alone may have lost its own path. */
+constexpr size_t kFewestCallers = 2;
+/** Three lost packets in a row without an answer between: at a loss of one in 500, one of 10^8. */
+constexpr uint32_t kFewestCopies = 3;
+/** Times of two nodes are compared by when their reports arrive: a report may be under way for so
+ * long, and what was sent less than that after a sign of life does not count. */
+constexpr Duration kReportDelay = std::chrono::milliseconds(100);
+
+uint32_t millisecondsSince(TimePoint then, TimePoint now) {
+  const Duration age = std::max(now - then, Duration{0});
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+}  // namespace
+
+void SignGatherer::add(const std::vector<HostSigns>& signs) {
+  for (const HostSigns& sign : signs) {
+    if (signs_.size() < kMostReportedSigns || signs_.contains(sign.token) || sign.copies > 0) {
+      signs_[sign.token] = sign;
+    }
+  }
+}
+
+std::vector<HostSign> SignGatherer::take(TimePoint now) {
+  std::vector<HostSign> report;
+  for (const auto& [token, sign] : signs_) {
+    HostSign& told = report.emplace_back();
+    told.token = token;
+    told.answeredAgoMilliseconds =
+        sign.answeredAt ? millisecondsSince(*sign.answeredAt, now) : kNeverAnswered;
+    told.copies = sign.copies;
+    told.callers = sign.callers;
+    told.callers.resize(std::min(told.callers.size(), kMostReportedCallers));
+    told.silentMilliseconds = sign.copies == 0 ? 0 : millisecondsSince(sign.since, now);
+  }
+  std::stable_sort(report.begin(), report.end(), [](const HostSign& left, const HostSign& right) {
+    return left.copies > right.copies;
+  });
+  report.resize(std::min(report.size(), kMostReportedSigns));
+  std::erase_if(signs_, [now](const auto& named) {
+    return named.second.copies == 0 || now - named.second.lastCopyAt > kWindow;
+  });
+  return report;
+}
+
+void ZoneSilence::merge(TimePoint now, uint64_t reporter, const std::vector<HostSign>& signs) {
+  for (const HostSign& sign : signs) {
+    Host& host = hosts_[sign.token];
+    if (sign.answeredAgoMilliseconds != kNeverAnswered) {
+      const auto ago = std::chrono::milliseconds(sign.answeredAgoMilliseconds);
+      host.answeredAt = std::max(host.answeredAt, now - ago);
+    }
+    if (sign.copies == 0) {
+      host.reports.erase(reporter);
+    } else {
+      const auto ago = std::chrono::milliseconds(sign.silentMilliseconds);
+      host.reports[reporter] = {now, sign.copies, sign.callers, now - ago};
+    }
+  }
+}
+
+std::optional<TimePoint> ZoneSilence::silentSince(const Host& host) {
+  size_t reporters = 0;
+  uint32_t copies = 0;
+  std::set<uint32_t> callers;
+  TimePoint since = TimePoint::max();
+  for (const auto& [reporter, report] : host.reports) {
+    if (report.since > host.answeredAt + kReportDelay) {
+      ++reporters;
+      copies += report.copies;
+      callers.insert(report.callers.begin(), report.callers.end());
+      since = std::min(since, report.since);
+    }
+  }
+  const bool isSilent =
+      reporters >= kFewestReporters && callers.size() >= kFewestCallers && copies >= kFewestCopies;
+  return isSilent ? std::optional(since) : std::nullopt;
+}
+
+std::vector<SilentHost> ZoneSilence::silentHosts(TimePoint now) {
+  std::vector<SilentHost> silent;
+  for (auto& [token, host] : hosts_) {
+    std::erase_if(host.reports,
+                  [now](const auto& named) { return now - named.second.at > kWindow; });
+    if (const auto since = silentSince(host)) {
+      silent.push_back({token, millisecondsSince(*since, now)});
+    }
+  }
+  std::erase_if(hosts_, [now](const auto& named) {
+    return named.second.reports.empty() && now - named.second.answeredAt > kWindow;
+  });
+  silent.resize(std::min(silent.size(), kMostSilentHosts));
+  return silent;
+}
+
+}  // namespace umberhold
--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -49,6 +49,30 @@
   }
 };
 
+/** HostSign::answeredAgoMilliseconds where there was no sign of life. */
+constexpr uint32_t kNeverAnswered = UINT32_MAX;
+
+/** Whether a host acknowledged what a node's callers sent it. */
+struct HostSign {
+  /** Flow token of the host. */
+  uint32_t token = 0;
+  /** Age of its last sign of life, milliseconds. */
+  uint32_t answeredAgoMilliseconds = kNeverAnswered;
+  /** Copies of data that callers sent since then. */
+  uint32_t copies = 0;
+  /** Addresses of these callers, each once; a few of them. */
+  std::vector<uint32_t> callers;
+  /** How long ago the first of that data was first sent, milliseconds. */
+  uint32_t silentMilliseconds = 0;
+
+  bool operator==(const HostSign&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(token, answeredAgoMilliseconds, copies, callers, silentMilliseconds);
+  }
+};
+
 /** What a node that follows a reader saw of hosts since it last asked. */
 struct HostReport {
   /** Tells the nodes of a zone apart. */
@@ -56,12 +80,27 @@
   /** Rises with each report of one run of the node. */
   uint64_t sequence = 0;
   std::vector<HostObservation> hosts;
+  std::vector<HostSign> signs;
 
   bool operator==(const HostReport&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
-    visitor(reporter, sequence, hosts);
+    visitor(reporter, sequence, hosts, signs);
+  }
+};
+
+/** A host that is silent to all nodes of a zone. */
+struct SilentHost {
+  uint32_t token = 0;
+  /** How long it has been silent, milliseconds. */
+  uint32_t silentMilliseconds = 0;
+
+  bool operator==(const SilentHost&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(token, silentMilliseconds);
   }
 };
 
@@ -105,13 +144,16 @@
   uint64_t evacuationsVersion = 0;
   /** All zones that are evacuated as of that version. */
   std::vector<std::string> evacuatedZones;
+  /** Hosts that are silent to all nodes of the zone. */
+  std::vector<SilentHost> silentHosts;
 
   bool operator==(const PeerChanges&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
-            hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones);
+            hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones,
+            silentHosts);
   }
 };
 
--- a/source/common/packet/packet_format.cc
+++ b/source/common/packet/packet_format.cc
@@ -15,6 +15,10 @@
   Result<std::string, RefusalError> refusal(std::string_view packet) const override {
     return buildRefusal(packet);
   }
+  Result<std::string, RefusalError> reset(const FlowKey& key,
+                                          uint32_t acknowledged) const override {
+    return buildFlowReset(key, acknowledged);
+  }
 };
 
 }  // namespace
--- a/source/common/packet/packet_format.h
+++ b/source/common/packet/packet_format.h
@@ -37,6 +37,14 @@
 
   /** @return the datagram that refuses the packet, for its caller. */
   virtual Result<std::string, RefusalError> refusal(std::string_view packet) const = 0;
+
+  /**
+   * @param acknowledged what the flow's caller acknowledged last.
+   * @return the datagram that ends the flow, for its caller; kNoReset where the flow's protocol has
+   * none.
+   */
+  virtual Result<std::string, RefusalError> reset(const FlowKey& key,
+                                                  uint32_t acknowledged) const = 0;
 };
 
 /** @return the default format: IPv4 with TCP or UDP. */
--- a/source/common/packet/packet_observer.h
+++ b/source/common/packet/packet_observer.h
@@ -20,6 +20,8 @@
                          std::string_view bytes) = 0;
   /** The packet was dropped before a decision: it could not be read, or the node wasn't ready. */
   virtual void onDropped(TimePoint now, DropReason reason, std::string_view bytes) = 0;
+  /** A flow was ended although it sent no packet. */
+  virtual void onReset(TimePoint now, const ResetFlow& decision) = 0;
 };
 
 }  // namespace umberhold
--- a/source/common/packet/packet_path.cc
+++ b/source/common/packet/packet_path.cc
@@ -24,6 +24,19 @@
   route(now, source, valueOf(parsed), bytes.substr(0, valueOf(parsed).totalLength));
 }
 
+void PacketPath::onReset(TimePoint now, const ResetFlow& decision) {
+  const auto reset = format_.reset(decision.key, decision.acknowledged);
+  if (!isOk(reset)) {
+    ++counters_.unanswered;
+    return;
+  }
+  ++counters_.resetFlows;
+  output_.toCaller(decision.key.caller, valueOf(reset));
+  if (observer_ != nullptr) {
+    observer_->onReset(now, decision);
+  }
+}
+
 void PacketPath::release(TimePoint now, std::string bytes, PacketSource source) {
   onPacket(now, source, bytes);
 }
--- a/source/common/packet/packet_path.h
+++ b/source/common/packet/packet_path.h
@@ -30,6 +30,8 @@
   std::array<uint64_t, static_cast<size_t>(DropReason::kCount)> dropped = {};
   /** Refused packets, counted in `refused`, for which no answer could be built. */
   uint64_t unanswered = 0;
+  /** Flows that were ended although they sent no packet; not counted in `refused`. */
+  uint64_t resetFlows = 0;
 };
 
 /** Takes packets in and sends them on. Not thread safe; never throws on what a packet holds. */
@@ -50,6 +52,9 @@
   /** @param bytes a packet in the path's format; valid during the call only. */
   void onPacket(TimePoint now, PacketSource source, std::string_view bytes);
 
+  /** Ends a flow that sent no packet. */
+  void onReset(TimePoint now, const ResetFlow& decision);
+
   /** HeldPacketSink: a packet that had to wait goes through the path again. */
   void release(TimePoint now, std::string bytes, PacketSource source) override;
 
--- a/source/common/packet/refusal_builder.cc
+++ b/source/common/packet/refusal_builder.cc
@@ -50,6 +50,10 @@
   return reset;
 }
 
+bool isUnicast(uint32_t address) {
+  return address != 0 && address < kLowestMulticast;
+}
+
 std::string serialize(Tins::IP packet) {
   const auto bytes = packet.serialize();
   return {bytes.begin(), bytes.end()};
@@ -79,8 +83,7 @@
   if (headers.phase == PacketPhase::kReset) {
     return RefusalError::kIsReset;
   }
-  const uint32_t caller = headers.key.caller.address;
-  if (caller == 0 || caller >= kLowestMulticast) {
+  if (!isUnicast(headers.key.caller.address)) {
     return RefusalError::kNoUnicastSource;
   }
   try {
@@ -91,4 +94,18 @@
   }
 }
 
+Result<std::string, RefusalError> buildFlowReset(const FlowKey& key, uint32_t acknowledged) {
+  if (key.protocol != TransportProtocol::kTcp) {
+    return RefusalError::kNoReset;
+  }
+  if (!isUnicast(key.caller.address)) {
+    return RefusalError::kNoUnicastSource;
+  }
+  Tins::TCP reset(key.caller.port, key.service.port);
+  reset.window(0);
+  reset.flags(Tins::TCP::RST);
+  reset.seq(acknowledged);
+  return serialize(answerHeader(key) / reset);
+}
+
 }  // namespace umberhold
--- a/source/common/packet/refusal_builder.h
+++ b/source/common/packet/refusal_builder.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "common/base/result.h"
+#include "common/flow/flow_key.h"
 
 namespace umberhold {
 
@@ -17,6 +18,8 @@
   kIsReset,
   /** The packet's source is no address of a single host (RFC 1122, 3.2.2). */
   kNoUnicastSource,
+  /** The flow's protocol has no resets. */
+  kNoReset,
 };
 
 /**
@@ -27,4 +30,11 @@
  */
 Result<std::string, RefusalError> buildRefusal(std::string_view packet);
 
+/**
+ * Builds the reset that ends a TCP flow (RFC 9293, 3.10.7.1).
+ * @param acknowledged what the caller acknowledged last: the number that it takes a reset for.
+ * @return a whole IPv4 packet from the service's address to the caller; kNoReset for UDP.
+ */
+Result<std::string, RefusalError> buildFlowReset(const FlowKey& key, uint32_t acknowledged);
+
 }  // namespace umberhold
--- a/source/common/platform/read_source.h
+++ b/source/common/platform/read_source.h
@@ -101,8 +101,8 @@
   /** This node found the store silent itself: no further peer is made to read, only the first
    * asked. Ends with the next confirmation. */
   void onStoreSilent() { storeSilent_ = true; }
-  /** There is reason to think that a peer can confirm again. */
-  void askSoon(TimePoint now) { nextQuestion_ = std::min(nextQuestion_, now); }
+  /** There is something to tell or to hear: the next question is asked by then. */
+  void askBy(TimePoint at) { nextQuestion_ = std::min(nextQuestion_, at); }
 
   /** The peer reads, and was sure at `confirmedAt` that it had missed nothing. */
   void onConfirmed(TimePoint now, TimePoint confirmedAt);
--- a/source/common/server/flow_log.cc
+++ b/source/common/server/flow_log.cc
@@ -120,6 +120,15 @@
   }
 }
 
+void FlowLog::onReset(TimePoint now, const ResetFlow& decision) {
+  ++counters_.reset[static_cast<size_t>(decision.reason)];
+  if (admit(now, LineKind::kFailure)) {
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
+        << "event=flow_reset reason=" << umberhold::toString(decision.reason)
+        << " flow=" << FlowText{decision.key};
+  }
+}
+
 void FlowLog::log(const Seen& seen, const ForwardToHost& decision) {
   if (decision.placement != nullptr) {
     logPlacement(seen, decision);
--- a/source/common/server/flow_log.h
+++ b/source/common/server/flow_log.h
@@ -36,6 +36,8 @@
   uint64_t callerResets = 0;
   /** By RefusalReason. */
   std::array<uint64_t, static_cast<size_t>(RefusalReason::kCount)> refused{};
+  /** Flows that were reset without a packet of theirs, by RefusalReason. */
+  std::array<uint64_t, static_cast<size_t>(RefusalReason::kCount)> reset{};
 };
 
 /** Not thread safe. */
@@ -52,6 +54,7 @@
   void onDecided(TimePoint now, const ParsedPacket& packet, const FlowDecision& decision,
                  std::string_view bytes) override;
   void onDropped(TimePoint now, DropReason reason, std::string_view bytes) override;
+  void onReset(TimePoint now, const ResetFlow& decision) override;
 
   /** @return whether a line of the kind may be written now; tells of suppressed ones first. */
   bool admit(TimePoint now, LineKind kind);
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -44,6 +44,8 @@
 constexpr Duration kSettingsInterval = std::chrono::seconds(5);
 /** How soon lines that the output had no room for are tried again. */
 constexpr Duration kFlushInterval = std::chrono::milliseconds(100);
+/** How soon resets that were too many at once go on; packets that arrived meanwhile come first. */
+constexpr Duration kResetInterval = std::chrono::milliseconds(5);
 /** Content type of Prometheus' text format. */
 constexpr const char* kMetricsType = "text/plain; version=0.0.4";
 
@@ -95,18 +97,34 @@
     }
     director.onCaughtUp(steadyNow());
     exchangeObservations();
+    sendResets();
     logPaces();
     flushLog();
   }
 
+  void sendResets() {
+    const TimePoint now = steadyNow();
+    for (const ResetFlow& reset : director.takeResets()) {
+      path.onReset(now, reset);
+    }
+    if (director.hasResets() && !resetsPlanned) {
+      resetsPlanned = true;
+      loop.at(now + kResetInterval, [this] {
+        resetsPlanned = false;
+        sendResets();
+      });
+    }
+  }
+
   void exchangeObservations() {
     if (hooks.observations == nullptr) {
       return;
     }
     const TimePoint now = steadyNow();
-    hooks.observations->add(now, director.takeSamples());
+    hooks.observations->add(now, director.takeSamples(), director.takeSigns());
     if (const auto news = hooks.observations->takeNews()) {
-      director.learn(now, *news);
+      director.learn(now, news->standings);
+      director.learnSilent(now, news->silentHosts);
     }
   }
 
@@ -148,6 +166,7 @@
               << " hosts=" << director.listedHostCount()
               << " took_us=" << (steadyNow() - news.seenAt).count();
     flushLog();
+    sendResets();
     configured = true;
     path.setReady(true);
     logReadiness();
@@ -326,6 +345,7 @@
   std::atomic<bool> reloadAsked{false};
   EvacuatedZones evacuatedZones;
   bool flushPlanned = false;
+  bool resetsPlanned = false;
   bool configured = false;
   bool stopping = false;
   /** What logReadiness() last said. */
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -36,6 +36,13 @@
                 {metricLabel("reason", toString(reason))});
   });
   families.push_back(refused.take());
+  MetricFamilyBuilder reset =
+      counterFamily("umberhold_reset_flows_total",
+                    "Flows of dead hosts that were reset without a packet of theirs, by reason");
+  forEachValue<RefusalReason>([&](RefusalReason reason, size_t index) {
+    reset.add(static_cast<double>(flows.reset[index]), {metricLabel("reason", toString(reason))});
+  });
+  families.push_back(reset.take());
   families.push_back(counterOf("umberhold_repeated_openings_total",
                                "Openings whose earlier copy a host left unanswered",
                                static_cast<double>(flows.repeatedOpenings)));
--- /dev/null
+++ b/test/common/flow/recent_flows_test.cc
@@ -0,0 +1,116 @@
+/** @file The flows that a node carried of late, found again by their host. */
+#include "common/flow/recent_flows.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kHost = 7;
+constexpr TimePoint kStart{seconds(1000)};
+
+}  // namespace
+
+TEST_GROUP(RecentFlows) {
+  RecentFlows flows;
+  TimePoint now = kStart;
+
+  FlowPacket packet(PacketPhase phase, uint32_t caller, uint32_t token) {
+    FlowPacket made;
+    made.key.caller = {caller, 40000};
+    made.hash = hashOf(made.key);
+    made.phase = phase;
+    made.token = token;
+    return made;
+  }
+  void send(uint32_t caller, uint32_t token, uint32_t dataBytes, uint32_t acknowledged) {
+    FlowPacket made = packet(PacketPhase::kContinuing, caller, token);
+    made.dataBytes = dataBytes;
+    made.acknowledged = acknowledged;
+    flows.note(now, made);
+  }
+  std::vector<RecentFlow> takeOf(uint32_t token) {
+    return flows.take(TimePoint{},
+                      [token](const RecentFlow& flow) { return flow.token == token; });
+  }
+};
+
+TEST(RecentFlows, FindsTheFlowsOfAHostOnceWithWhatTheirCallersAcknowledgedLast) {
+  send(1, kHost, 100, 10);
+  send(1, kHost, 0, 500);
+  send(2, kHost + 1, 100, 10);
+  const auto taken = takeOf(kHost);
+  LONGS_EQUAL(1, taken.size());
+  LONGS_EQUAL(1, taken[0].key.caller.address);
+  LONGS_EQUAL(500, taken[0].acknowledged);
+  CHECK_TRUE(takeOf(kHost).empty());
+  LONGS_EQUAL(1, takeOf(kHost + 1).size());
+}
+
+TEST(RecentFlows, KnowsWhetherARequestIsUnderWay) {
+  send(1, kHost, 100, 10);
+  send(2, kHost, 100, 10);
+  send(2, kHost, 0, 10);  // Acknowledges nothing new.
+  send(3, kHost, 100, 10);
+  send(3, kHost, 0, 600);
+  for (const RecentFlow& flow : takeOf(kHost)) {
+    CHECK_EQUAL(flow.key.caller.address != 3, flow.underWay);
+  }
+}
+
+TEST(RecentFlows, ANextRequestThatAcknowledgesTheLastAnswerIsUnderWay) {
+  send(1, kHost, 100, 10);
+  send(1, kHost, 100, 600);
+  CHECK_TRUE(takeOf(kHost)[0].underWay);
+}
+
+TEST(RecentFlows, AnOpeningOrAnEndForgetsTheFlow) {
+  for (const PacketPhase phase :
+       {PacketPhase::kOpening, PacketPhase::kClosing, PacketPhase::kReset}) {
+    send(1, kHost, 100, 10);
+    flows.note(now, packet(phase, 1, 0));
+    CHECK_TRUE(takeOf(kHost).empty());
+  }
+}
+
+TEST(RecentFlows, NeverMovesBackWhatACallerAcknowledged) {
+  send(1, kHost, 0, 500);
+  send(1, kHost, 0, 400);
+  LONGS_EQUAL(500, takeOf(kHost)[0].acknowledged);
+  send(1, kHost, 0, UINT32_MAX - 5);
+  send(1, kHost, 0, 20);  // Wrapped around.
+  LONGS_EQUAL(20, takeOf(kHost)[0].acknowledged);
+}
+
+TEST(RecentFlows, PassesOverWhatWasNotSeenForLong) {
+  send(1, kHost, 0, 500);
+  now += seconds(60);
+  send(2, kHost, 0, 500);
+  const auto taken =
+      flows.take(now - seconds(50), [](const RecentFlow&) { return true; });
+  LONGS_EQUAL(1, taken.size());
+  LONGS_EQUAL(2, taken[0].key.caller.address);
+}
+
+TEST(RecentFlows, HoldsABoundedNumberAndForgetsTheOldest) {
+  for (uint32_t caller = 1; caller <= 100000; ++caller) {
+    now += milliseconds(1);
+    send(caller, kHost, 100, 10);
+  }
+  const auto taken = takeOf(kHost);
+  CHECK_TRUE(taken.size() <= RecentFlows::kCapacity);
+  CHECK_TRUE(taken.size() > RecentFlows::kCapacity * 9 / 10);
+  size_t young = 0;
+  for (const RecentFlow& flow : taken) {
+    young += flow.key.caller.address > 100000 - RecentFlows::kCapacity ? 1 : 0;
+  }
+  // Within sets of four the oldest goes; sets that got fewer flows keep older ones.
+  CHECK_TRUE(young > taken.size() * 7 / 10);
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/test/common/flow/silence_evidence_test.cc
@@ -0,0 +1,53 @@
+/** @file Data that a host does not acknowledge, as one node sees it. */
+#include "common/flow/silence_evidence.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+
+}  // namespace
+
+TEST_GROUP(SilenceEvidence) { SilenceEvidence evidence; };
+
+TEST(SilenceEvidence, CountsCopiesAndEachCallerOnce) {
+  evidence.onCopy(kStart + milliseconds(200), kStart, 1);
+  evidence.onCopy(kStart + milliseconds(250), kStart - milliseconds(50), 2);
+  evidence.onCopy(kStart + milliseconds(600), kStart, 1);
+  const HostSigns signs = evidence.signs(7);
+  LONGS_EQUAL(7, signs.token);
+  LONGS_EQUAL(3, signs.copies);
+  LONGS_EQUAL(2, signs.callers.size());
+  CHECK_TRUE(signs.since == kStart - milliseconds(50));
+  CHECK_FALSE(signs.answeredAt.has_value());
+}
+
+TEST(SilenceEvidence, ASignOfLifeEndsIt) {
+  evidence.onCopy(kStart, kStart, 1);
+  evidence.onAnswered(kStart + milliseconds(300));
+  LONGS_EQUAL(0, evidence.signs(7).copies);
+  LONGS_EQUAL(0, evidence.callers());
+}
+
+TEST(SilenceEvidence, DataFromBeforeASignOfLifeWasLost) {
+  evidence.onAnswered(kStart + milliseconds(100));
+  evidence.onCopy(kStart + milliseconds(200), kStart, 1);
+  LONGS_EQUAL(0, evidence.signs(7).copies);
+  evidence.onCopy(kStart + milliseconds(400), kStart + milliseconds(200), 1);
+  LONGS_EQUAL(1, evidence.signs(7).copies);
+}
+
+TEST(SilenceEvidence, RemembersAFewCallersOnly) {
+  for (uint32_t caller = 1; caller <= 1000; ++caller) {
+    evidence.onCopy(kStart, kStart, caller);
+  }
+  LONGS_EQUAL(SilenceEvidence::kMostCallers, evidence.callers());
+  LONGS_EQUAL(1000, evidence.signs(7).copies);
+}
+
+}  // namespace umberhold
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/flow/token_director_test.cc
@@ -53,6 +53,7 @@
   FlowPacket packet(PacketPhase phase, uint64_t flow, uint32_t token) {
     FlowPacket made;
     made.hash = FlowHash{flow};
+    made.key.caller = {static_cast<uint32_t>(flow), 40000};
     made.service = serviceIdOf("pickup");
     made.phase = phase;
     made.token = token;
@@ -335,6 +336,85 @@
   CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 6)));
 }
 
+TEST(TokenDirector, ResetsTheFlowsOfAHostThatEndedWithoutWaitingForTheirCallers) {
+  data(1, flowTokenOf(1), 100);
+  acknowledge(1, flowTokenOf(1), 600, 200);
+  data(2, flowTokenOf(2), 100);
+  HostSpec successor = makeHost(3);
+  successor.endpoint = makeHost(1).endpoint;
+  now += seconds(1);
+  director.setPool(now, {"mapstore", {successor}});
+  CHECK_FALSE(director.hasResets());
+  const auto changes = director.setPool(now, {"dispatch", {makeHost(2)}});
+  CHECK_TRUE(changes.back().kind == HostChangeKind::kEnded);
+  const auto resets = director.takeResets();
+  LONGS_EQUAL(1, resets.size());
+  LONGS_EQUAL(600, resets[0].acknowledged);
+  CHECK_TRUE(resets[0].reason == RefusalReason::kHostEnded);
+  director.setPool(now, {"dispatch", {makeHost(2)}});
+  CHECK_FALSE(director.hasResets());
+}
+
+TEST(TokenDirector, AHostThatThreeCallersFindSilentIsDead) {
+  serveRepeatable();
+  const uint32_t token = flowTokenOf(1);
+  acknowledge(9, token, 10);
+  acknowledge(9, token, 600);
+  now += milliseconds(100);
+  for (uint64_t flow = 1; flow <= 3; ++flow) {
+    data(flow, token, 7);
+  }
+  now += milliseconds(200);
+  data(1, token, 7);
+  data(2, token, 7);
+  CHECK_FALSE(director.hasResets());
+  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(3, token, 7)));
+  // Those under way may run twice, and flow 9 rests.
+  LONGS_EQUAL(4, director.takeResets().size());
+  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(4, token, 7)));
+  LONGS_EQUAL(0, openMany(20)[1]);
+}
+
+TEST(TokenDirector, AHostThatIsSilentToTheZoneIsDeadUnlessItAnsweredHereSince) {
+  const uint32_t token = flowTokenOf(1);
+  acknowledge(9, token, 10);
+  acknowledge(9, token, 600);
+  now += milliseconds(500);
+  director.learnSilent(now, {{token, 600}});
+  CHECK_FALSE(director.hasResets());
+  director.learnSilent(now, {{token, 400}});
+  LONGS_EQUAL(1, director.takeResets().size());
+  CHECK_EQUAL(1, hostOf(next(10, token)));
+  LONGS_EQUAL(0, openMany(20)[1]);
+  acknowledge(10, token, 10);
+  acknowledge(10, token, 600);
+  CHECK_TRUE(openMany(20)[1] > 0);
+}
+
+TEST(TokenDirector, NeverTakesMoreThanHalfOfAPoolForDead) {
+  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
+  acknowledge(9, flowTokenOf(1), 10);
+  acknowledge(9, flowTokenOf(1), 600);
+  now += milliseconds(500);
+  director.learnSilent(now, {{flowTokenOf(1), 400}, {flowTokenOf(2), 400}});
+  CHECK_FALSE(director.hasResets());
+  director.learnSilent(now, {{flowTokenOf(1), 400}});
+  CHECK_TRUE(director.hasResets());
+}
+
+TEST(TokenDirector, TellsOfHostsThatAcknowledgedOrDidNotOnce) {
+  data(1, flowTokenOf(1), 7);
+  now += milliseconds(200);
+  data(1, flowTokenOf(1), 7);
+  acknowledge(2, flowTokenOf(2), 10);
+  acknowledge(2, flowTokenOf(2), 600);
+  const auto signs = director.takeSigns();
+  LONGS_EQUAL(2, signs.size());
+  LONGS_EQUAL(1, signs[0].copies);
+  CHECK_TRUE(signs[1].answeredAt == now);
+  CHECK_TRUE(director.takeSigns().empty());
+}
+
 TEST(TokenDirector, PlacesFewNewFlowsAtAHostWhoseAnswersComeFarTooLate) {
   director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
   const auto serve = [this](uint64_t incarnation, milliseconds answerTime) {
--- a/test/common/health/host_observations_test.cc
+++ b/test/common/health/host_observations_test.cc
@@ -25,7 +25,7 @@
   uint64_t sequence = 0;
 
   HostReport report(uint64_t reporter, uint32_t token, uint32_t percent) {
-    return {reporter, ++sequence, {{token, 1, percent}}};
+    return {reporter, ++sequence, {{token, 1, percent}}, {}};
   }
   ReportOutcome merge(uint64_t reporter, uint32_t token, uint32_t percent) {
     return zone.merge(now, report(reporter, token, percent));
@@ -79,9 +79,9 @@
 }
 
 TEST(HostObservations, RefusesFiguresThatNoNodeCanHaveMeasured) {
-  CHECK_TRUE(zone.merge(now, {1, 1, {{kSlowHost, 1, 501}}}) == ReportOutcome::kInvalid);
-  CHECK_TRUE(zone.merge(now, {1, 2, {{kSlowHost, 0, 300}}}) == ReportOutcome::kInvalid);
-  HostReport tooLong{1, 3, {}};
+  CHECK_TRUE(zone.merge(now, {1, 1, {{kSlowHost, 1, 501}}, {}}) == ReportOutcome::kInvalid);
+  CHECK_TRUE(zone.merge(now, {1, 2, {{kSlowHost, 0, 300}}, {}}) == ReportOutcome::kInvalid);
+  HostReport tooLong{1, 3, {}, {}};
   for (uint32_t token = 0; token <= kMostReportedHosts; ++token) {
     tooLong.hosts.push_back({token + 1, 1, 100});
   }
@@ -121,22 +121,51 @@
 
 TEST(HostObservations, ANodeThatIsAskedAddsWhatItSeesItself) {
   ObservationExchange exchange("front-1");
-  const auto encoded = encodeHostReport({1, 1, {{kSlowHost, 1, 500}}});
+  const auto encoded = encodeHostReport({1, 1, {{kSlowHost, 1, 500}}, {}});
   exchange.merge(now, valueOf(encoded));
-  CHECK_TRUE(exchange.standings(now).empty());
-  exchange.add(now, {{kSlowHost, 5.0}});
+  CHECK_TRUE(exchange.news(now).standings.empty());
+  exchange.add(now, {{kSlowHost, 5.0}}, {});
   const auto news = exchange.takeNews();
   CHECK_TRUE(news.has_value());
-  LONGS_EQUAL(1, news->size());
+  LONGS_EQUAL(1, news->standings.size());
   CHECK_FALSE(exchange.takeNews().has_value());
 }
 
+TEST(HostObservations, RefusesAReportWithTooManySigns) {
+  HostReport tooLong{1, 1, {}, {}};
+  tooLong.signs.resize(kMostReportedSigns + 1);
+  CHECK_TRUE(zone.merge(now, tooLong) == ReportOutcome::kInvalid);
+}
+
+TEST(HostObservations, ANodeWhoseCallersGetNoAcknowledgementSaysSoAtOnce) {
+  ObservationExchange exchange("front-1");
+  int urgent = 0;
+  exchange.setUrgent([&] { ++urgent; });
+  exchange.add(now, {}, {{kSlowHost, now, 0, {}, {}, {}}});
+  LONGS_EQUAL(0, urgent);
+  exchange.add(now, {}, {{kSlowHost, now, 1, {11}, now, now}});
+  LONGS_EQUAL(1, urgent);
+  LONGS_EQUAL(1, exchange.takeReport(now).signs.size());
+}
+
+TEST(HostObservations, ANodeThatIsAskedNamesHostsThatAreSilentToItAndAnother) {
+  ObservationExchange exchange("front-1");
+  const HostReport other{1, 1, {}, {{kSlowHost, kNeverAnswered, 2, {11}, 600}}};
+  exchange.merge(now, valueOf(encodeHostReport(other)));
+  CHECK_TRUE(exchange.news(now).silentHosts.empty());
+  exchange.add(now, {}, {{kSlowHost, std::nullopt, 1, {12}, now - milliseconds(300), now}});
+  const auto news = exchange.takeNews();
+  CHECK_TRUE(news.has_value());
+  LONGS_EQUAL(1, news->silentHosts.size());
+  LONGS_EQUAL(600, news->silentHosts[0].silentMilliseconds);
+}
+
 TEST(HostObservations, WhatIsNoReportIsCountedAndChangesNothing) {
   ObservationExchange exchange("front-1");
   exchange.merge(now, "no report");
   exchange.merge(now, std::string(3000, '\x91'));
   LONGS_EQUAL(2, exchange.counters()[static_cast<size_t>(ReportOutcome::kMalformed)]);
-  CHECK_TRUE(exchange.standings(now).empty());
+  CHECK_TRUE(exchange.news(now).standings.empty());
 }
 
 }  // namespace umberhold
--- /dev/null
+++ b/test/common/health/zone_silence_test.cc
@@ -0,0 +1,127 @@
+/** @file Which hosts are silent to all nodes of a zone. */
+#include "common/health/zone_silence.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kHost = 7;
+
+}  // namespace
+
+TEST_GROUP(ZoneSilence) {
+  TimePoint now{seconds(1000)};
+  ZoneSilence zone;
+
+  /** A node reports copies of one caller's data, sent first `ago` before. */
+  void reportSilence(uint64_t reporter, uint32_t caller, uint32_t copies, uint32_t ago) {
+    zone.merge(now, reporter, {{kHost, kNeverAnswered, copies, {caller}, ago}});
+  }
+  void reportAnswer(uint64_t reporter, uint32_t ago) {
+    zone.merge(now, reporter, {{kHost, ago, 0, {}, 0}});
+  }
+};
+
+TEST(ZoneSilence, NamesAHostThatTwoNodesFindSilent) {
+  reportAnswer(3, 900);
+  reportSilence(1, 11, 2, 600);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  reportSilence(2, 12, 1, 300);
+  const auto silent = zone.silentHosts(now);
+  LONGS_EQUAL(1, silent.size());
+  LONGS_EQUAL(kHost, silent[0].token);
+  LONGS_EQUAL(600, silent[0].silentMilliseconds);
+}
+
+TEST(ZoneSilence, OneNodeAloneSilencesNobodyHoweverManyCallersItNames) {
+  for (int round = 0; round < 20; ++round) {
+    zone.merge(now, 1, {{kHost, kNeverAnswered, 50, {1, 2, 3}, 900}});
+    now += milliseconds(100);
+  }
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, OneCallerAloneSilencesNobodyHoweverManyNodesCarryIt) {
+  for (uint64_t reporter = 1; reporter <= 5; ++reporter) {
+    reportSilence(reporter, 11, 3, 900);
+  }
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, TwoLostPacketsSilenceNobody) {
+  reportSilence(1, 11, 1, 300);
+  reportSilence(2, 12, 1, 300);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, AnAnswerToAnyNodeShowsThatTheHostLives) {
+  reportSilence(1, 11, 2, 600);
+  reportSilence(2, 12, 2, 500);
+  LONGS_EQUAL(1, zone.silentHosts(now).size());
+  reportAnswer(3, 100);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  // What was sent before the answer tells nothing any more, also where it is reported again.
+  now += milliseconds(100);
+  reportSilence(1, 11, 3, 700);
+  reportSilence(2, 12, 3, 600);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, AReportThatWasUnderWayForLongDoesNotMakeSilenceYounger) {
+  reportAnswer(3, 0);
+  now += milliseconds(90);
+  // Both were sent 50 ms before the answer, but their reports took 90 ms longer.
+  reportSilence(1, 11, 2, 50);
+  reportSilence(2, 12, 2, 50);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, ForgetsWhatIsNoLongerReported) {
+  reportSilence(1, 11, 2, 600);
+  reportSilence(2, 12, 2, 500);
+  now += seconds(4);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, ANodeTakesItsReportBack) {
+  reportSilence(1, 11, 2, 600);
+  reportSilence(2, 12, 2, 500);
+  zone.merge(now, 2, {{kHost, kNeverAnswered, 0, {}, 0}});
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+TEST(ZoneSilence, NamesABoundedNumber) {
+  for (uint32_t token = 1; token <= 1000; ++token) {
+    zone.merge(now, 1, {{token, kNeverAnswered, 2, {11}, 600}});
+    zone.merge(now, 2, {{token, kNeverAnswered, 2, {12}, 600}});
+  }
+  LONGS_EQUAL(kMostSilentHosts, zone.silentHosts(now).size());
+}
+
+TEST(ZoneSilence, AGathererReportsSilentHostsFirstAndAgainAndAnswersOnce) {
+  SignGatherer gatherer;
+  std::vector<HostSigns> signs;
+  for (uint32_t token = 1; token <= 2 * kMostReportedSigns; ++token) {
+    signs.push_back({token, now, 0, {}, {}, {}});
+  }
+  signs.push_back({5000, std::nullopt, 2, {11, 12}, now - milliseconds(400), now});
+  gatherer.add(signs);
+  now += milliseconds(100);
+  const auto first = gatherer.take(now);
+  LONGS_EQUAL(kMostReportedSigns, first.size());
+  LONGS_EQUAL(5000, first[0].token);
+  LONGS_EQUAL(500, first[0].silentMilliseconds);
+  LONGS_EQUAL(kNeverAnswered, first[0].answeredAgoMilliseconds);
+  LONGS_EQUAL(2, first[0].callers.size());
+  LONGS_EQUAL(100, first[1].answeredAgoMilliseconds);
+  LONGS_EQUAL(1, gatherer.take(now).size());
+  now += seconds(4);
+  gatherer.take(now);  // The last copy is too old to be told once more.
+  CHECK_TRUE(gatherer.take(now).empty());
+}
+
+}  // namespace umberhold
--- a/test/common/packet/packet_path_test.cc
+++ b/test/common/packet/packet_path_test.cc
@@ -182,6 +182,26 @@
   CHECK(errorOf(answer) == RefusalError::kNoUnicastSource);
 }
 
+TEST(PacketPath, EndsAFlowOfADeadHostByAResetThatItsCallerTakes) {
+  FlowKey key;
+  key.caller = {0x0A000001, 40000};
+  key.service = {kSampleService, kSampleServicePort};
+  path.onReset(kNow, {key, 77, RefusalReason::kHostEnded});
+  CHECK_EQUAL(1U, output.callers.size());
+  const Tins::IP packet = parsed(output.callers[0]);
+  const auto& reset = packet.rfind_pdu<Tins::TCP>();
+  CHECK(reset.flags() == Tins::TCP::RST);
+  CHECK_EQUAL(77U, reset.seq());
+  CHECK_EQUAL(40000, reset.dport());
+  CHECK_EQUAL(kSampleServicePort, reset.sport());
+  CHECK(hasValidChecksum(output.callers[0]));
+  CHECK_EQUAL(1U, path.counters().resetFlows);
+  key.protocol = TransportProtocol::kUdp;
+  path.onReset(kNow, {key, 77, RefusalReason::kHostEnded});
+  CHECK_EQUAL(1U, sent());
+  CHECK_EQUAL(1U, path.counters().unanswered);
+}
+
 TEST(PacketPath, ReleasedPacketIsDecidedAgain) {
   director.decision = HoldPacket{};
   path.onPacket(kNow, PacketSource::kFabric, tcpSample(kSyn));
--- a/test/common/platform/read_source_test.cc
+++ b/test/common/platform/read_source_test.cc
@@ -194,7 +194,7 @@
     source.onFailure(now);
     now += options.retry;
   }
-  source.askSoon(now);
+  source.askBy(now);
   CHECK_TRUE(source.nextQuestion(now) == now);
   confirm();
   peer();
--- a/test/platform/packet/echo_format_test.cc
+++ b/test/platform/packet/echo_format_test.cc
@@ -92,4 +92,10 @@
   CHECK_TRUE(errorOf(format.refusal(bytesOf(kResetText))) == RefusalError::kIsReset);
 }
 
+TEST(EchoFormat, EndsAFlowThatSentNoPacketAsItRefusesOneThatDid) {
+  const FlowKey key = valueOf(format.parse(syn)).key;
+  CHECK_TRUE(bytesOf(kResetText) == valueOf(format.reset(key, 0)));
+  CHECK_TRUE(bytesOf("00 01 02 03") == valueOf(format.reset(key, 0x00010203)).substr(9, 4));
+}
+
 }  // namespace umberhold::platform
--- a/test/platform/store/peer_question_test.cc
+++ b/test/platform/store/peer_question_test.cc
@@ -1,6 +1,8 @@
 /** @file The path by which a node asks its reader, with what it saw of hosts. */
 #include "platform/store/peer_question.h"
 
+#include "common/health/host_observations.h"
+#include "common/health/zone_silence.h"
 #include "common/messages/peer_messages.h"
 #include "common/server/poll_http_port.h"
 #include "common/wire/codec.h"
@@ -22,8 +24,10 @@
 }
 
 TEST(PeerQuestion, FitsIntoAPathForEveryReport) {
-  HostReport report{UINT64_MAX, UINT64_MAX, {}};
-  report.hosts.assign(48, {UINT32_MAX, 1000, 500});
+  HostReport report{UINT64_MAX, UINT64_MAX, {}, {}};
+  report.hosts.assign(kMostReportedHosts, {UINT32_MAX, 1000, 500});
+  const std::vector<uint32_t> callers(kMostReportedCallers, UINT32_MAX);
+  report.signs.assign(kMostReportedSigns, {UINT32_MAX, kNeverAnswered, 1000, callers, 60000});
   const std::string path = pathOf({UINT64_MAX, valueOf(encodeHostReport(report))});
   CHECK_TRUE(path.size() + 200 < kPollHttpHeadBytes);
   CHECK_EQUAL(std::string::npos, path.find_first_of(" ?#%\r\n+="));
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -243,10 +243,29 @@
   const auto isHeard = [&] {
     // Each sees the host once in a while; none of them often enough to judge it.
     for (size_t index = 1; index < 4; ++index) {
-      nodes[index]->observations().add(steadyNow(), {{kLateHost, 5.0}});
+      nodes[index]->observations().add(steadyNow(), {{kLateHost, 5.0}}, {});
     }
     const auto news = nodes.back()->observations().takeNews();
-    heard = heard || (news && news->size() == 1 && news->front().token == kLateHost);
+    heard = heard ||
+            (news && news->standings.size() == 1 && news->standings.front().token == kLateHost);
+    return heard;
+  };
+  CHECK_TRUE(soon(isHeard));
+}
+
+TEST(ZoneReader, NodesHearSoonOfAHostThatIsSilentToTwoOfThem) {
+  startAll();
+  constexpr uint32_t kSilentHost = 78;
+  bool heard = false;
+  const TimePoint began = steadyNow();
+  for (uint32_t index = 1; index <= 2; ++index) {
+    nodes[index]->observations().add(
+        began, {}, {{kSilentHost, std::nullopt, 2, {index}, began - milliseconds(200), began}});
+  }
+  const auto isHeard = [&] {
+    const auto news = nodes.back()->observations().takeNews();
+    heard = heard || (news && news->silentHosts.size() == 1 &&
+                      news->silentHosts.front().token == kSilentHost);
     return heard;
   };
   CHECK_TRUE(soon(isHeard));
