--- /dev/null
+++ b/bench/load_model/heavy_days.cc
@@ -0,0 +1,62 @@
+#include "bench/load_model/heavy_days.h"
+
+namespace umberhold::load_model {
+namespace {
+
+/** A limit that no load reaches. */
+constexpr double kNever = 1e9;
+
+LoadDay dayWith(const std::vector<LoadEvent>& events) {
+  LoadDay day = usualDay();
+  day.events = events;
+  return day;
+}
+
+}  // namespace
+
+LoadDay usualDay() {
+  LoadDay day;
+  day.zones = {{"bole", 25, 40, 1090}, {"piassa", 25, 40, 1070}, {"merkato", 25, 40, 1430}};
+  day.kinds = {{22.0, 250.0, 0.67}, {29.0, 300.0, 0.33}};
+  return day;
+}
+
+std::vector<NamedDay> heavyDays() {
+  LoadEvent usual;
+  usual.from = 5.0;
+  usual.to = 15.0;
+  LoadEvent burst = usual;
+  burst.users = 3.0;
+  burst.to = 11.0;
+  LoadEvent strongBurst = burst;
+  strongBurst.users = 5.0;
+  LoadEvent gone = usual;
+  gone.from = 2.0;
+  gone.to = 2.1;
+  gone.hostsGone = 0.5;
+  LoadEvent doubled = burst;
+  doubled.users = 2.0;
+  LoadEvent slow = usual;
+  slow.slowPart = 0.9;
+  slow.slowness = 4.0;
+  LoadEvent dark = usual;
+  dark.deadPart = 0.25;
+  return {{"usual", dayWith({usual})},
+          {"burst x 3", dayWith({burst})},
+          {"burst x 5", dayWith({strongBurst})},
+          {"half gone, x 2", dayWith({gone, doubled})},
+          {"nine of ten slow", dayWith({slow})},
+          {"a quarter dark", dayWith({dark})}};
+}
+
+std::vector<NamedWay> ways() {
+  const auto keepsFullZones = [](LoadDay& day) { day.placement.fullZoneLoad = kNever; };
+  return {{"random", [](LoadDay& day) { day.chooser = Chooser::kRandom; }},
+          {"central, all known", [](LoadDay& day) { day.chooser = Chooser::kCentral; }},
+          {"zone first", keepsFullZones},
+          {"zone until it is full", [](LoadDay&) {}},
+          {"full at 0.5", [](LoadDay& day) { day.placement.fullZoneLoad = 0.5; }},
+          {"no zone preferred", [](LoadDay& day) { day.placement.prefersOwnZone = false; }}};
+}
+
+}  // namespace umberhold::load_model
--- a/source/common/config/service.h
+++ b/source/common/config/service.h
@@ -49,13 +49,15 @@
   uint64_t incarnation = 0;
   /** How much longer it was cold when it last said so, milliseconds. */
   uint32_t coldMilliseconds = 0;
+  /** Requests that it works on at once; 0: not known. */
+  uint32_t slots = 0;
 
   bool operator==(const HostSpec&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(name, endpoint, probe, zone, state, drainDeadline, connectionLimit, weight, incarnation,
-            coldMilliseconds);
+            coldMilliseconds, slots);
   }
 };
 
--- a/source/common/flow/flow_placement.cc
+++ b/source/common/flow/flow_placement.cc
@@ -136,7 +136,26 @@
       others.push_back(zone);
     }
   }
-  return (ofEqualShare < kFewHosts ? ofEqualShare : 1.0) * partByTimes(now, pool, others);
+  return (ofEqualShare < kFewHosts ? ofEqualShare : 1.0) * partByTimes(now, pool, others) *
+         partByLoad(now, pool);
+}
+
+double FlowPlacement::partByLoad(TimePoint now, const TokenPool& pool) const {
+  double ownSlots = 0.0;
+  double slots = 0.0;
+  for (const Candidate& candidate : candidates_) {
+    if (!candidate.isPoor()) {
+      slots += candidate.host->spec.slots;
+      ownSlots += candidate.host->spec.zone == zone_ ? candidate.host->spec.slots : 0;
+    }
+  }
+  const double load = pool.underWay.value(now) * zoneNodes_;
+  const double bearable = options_.fullZoneLoad * ownSlots;
+  if (ownSlots == 0.0 || load <= bearable) {
+    return 1.0;
+  }
+  const double preferred = bearable / load;
+  return preferred + (1.0 - preferred) * ownSlots / slots;
 }
 
 double FlowPlacement::partByTimes(TimePoint now, const TokenPool& pool,
--- a/source/common/flow/flow_placement.h
+++ b/source/common/flow/flow_placement.h
@@ -44,6 +44,8 @@
   TokenHost* place(TimePoint now, const TokenPool& pool, uint32_t avoided);
   /** Hosts of these zones get no new flow. */
   void setEvacuatedZones(EvacuatedZones zones) { evacuated_ = std::move(zones); }
+  /** Nodes of this node's zone, itself included; callers are spread evenly over them. */
+  void setZoneNodes(uint32_t nodes) { zoneNodes_ = nodes; }
   /** Fed by who sees what hosts answer. */
   SilentZones& silentZones() { return silentZones_; }
   /** @return the hosts that became slow or usual since the last call. */
@@ -86,6 +88,11 @@
    * those of other zones. Zones are taken to have equal traffic.
    */
   double ownZonePart(TimePoint now, const TokenPool& pool) const;
+  /**
+   * @return part that stays by the load of the zone's own slots. What does not stay is spread over
+   * all hosts, so that zones which are full alike exchange flows and lose nothing.
+   */
+  double partByLoad(TimePoint now, const TokenPool& pool) const;
   double partByTimes(TimePoint now, const TokenPool& pool,
                      const std::vector<std::string_view>& otherZones) const;
   const Candidate* best();
@@ -99,6 +106,7 @@
   const PlacementOptions options_;
   RandomSource& random_;
   EvacuatedZones evacuated_;
+  uint32_t zoneNodes_ = 1;
   SilentZones silentZones_;
   PlacementEvidence evidence_;
   /** Kept between calls for its memory. */
--- a/source/common/flow/placement_options.h
+++ b/source/common/flow/placement_options.h
@@ -12,6 +12,9 @@
   /** The own zone's hosts answer so many times later than those of other zones: a part of the flows
    * leaves. Hosts that are used to 70% answer 1.3 times later than idle ones (M/M/3). */
   double zoneLeavesRatio = 1.3;
+  /** Requests under way of a zone's callers, for each slot of its hosts, up to which all new flows
+   * stay in the zone; beyond it a part is spread over the hosts of all zones. */
+  double fullZoneLoad = 0.7;
 
   bool operator==(const PlacementOptions&) const = default;
 };
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -194,6 +194,7 @@
   if (!response) {
     return;
   }
+  noteUnderWay(now, host, *response);
   const auto ratio = usualTime.ratioOf(*response);
   usualTime.add(now, *response);
   if (ratio) {
@@ -201,6 +202,12 @@
   }
 }
 
+void TokenDirector::noteUnderWay(TimePoint now, const TokenHost& host, Duration took) {
+  if (TokenPool* pool = hosts_.findPool(host.pool)) {
+    pool->underWay.onEnded(now, took);
+  }
+}
+
 void TokenDirector::onCaughtUp(TimePoint now) {
   progress_.onCaughtUp();
   for (const uint32_t token : openings_.onCaughtUp(now)) {
@@ -213,6 +220,7 @@
     TokenHost* host = hosts_.find(request.token);
     if (service != services_.end() && host != nullptr) {
       service->second.usualTime.add(now, request.waited);
+      noteUnderWay(now, *host, request.waited);
       noteSample(now, *host, kOverdueRatio);
     }
   }
--- a/source/common/flow/token_director.h
+++ b/source/common/flow/token_director.h
@@ -71,7 +71,10 @@
    * back count as cold: they may say so only later. */
   void setEvacuatedZones(TimePoint now, EvacuatedZones zones);
   /** Nodes of this node's zone, itself included. */
-  void setZoneNodes(uint32_t nodes) { zoneNodes_ = nodes; }
+  void setZoneNodes(uint32_t nodes) {
+    zoneNodes_ = nodes;
+    placement_.setZoneNodes(nodes);
+  }
   /** No flow lives longer from now on; see TokenOptions. */
   void setFlowLife(Duration flowLife) {
     hosts_.setFlowLife(flowLife);
@@ -132,6 +135,8 @@
   bool noteProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
   /** Learns from the packet how long the host took for its request. */
   void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
+  /** A request ended, or waits beyond all measure. */
+  void noteUnderWay(TimePoint now, const TokenHost& host, Duration took);
   void noteSample(TimePoint now, TokenHost& host, double ratio);
   void noteSign(TokenHost& host);
   /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
--- a/source/common/flow/token_hosts.h
+++ b/source/common/flow/token_hosts.h
@@ -18,6 +18,7 @@
 #include "common/config/service.h"
 #include "common/flow/cold_hosts.h"
 #include "common/flow/host_estimate.h"
+#include "common/flow/requests_under_way.h"
 #include "common/flow/response_score.h"
 #include "common/flow/silence_evidence.h"
 
@@ -92,6 +93,8 @@
   ColdLimit cold{};
   /** Answers of late by zone, of the hosts that aren't slow themselves. */
   std::map<std::string, ResponseScore, std::less<>> zones;
+  /** Of this node's callers, at all hosts of the pool. */
+  RequestsUnderWay underWay;
   /** Version of the catalogue that the pool is from, and when this node applied it. */
   uint64_t version = 0;
   TimePoint appliedAt{};
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -178,6 +178,7 @@
     reader.flag("prefer_own_zone", placement.prefersOwnZone);
     reader.fraction("weighed_ratio", placement.weighedRatio, kHighestRatio);
     reader.fraction("zone_leaves_ratio", placement.zoneLeavesRatio, kHighestRatio);
+    reader.fraction("full_zone_load", placement.fullZoneLoad, kHighestRatio);
     reader.fraction("cold_rate_factor", settings.coldHosts.rateFactor, kHighestRatio, true);
     reader.fraction("cold_rate_allowance", settings.coldHosts.rateAllowance, kHighestRatio, true);
     reader.refuseOtherKeys();
@@ -228,6 +229,7 @@
   comparePlacement("prefer_own_zone", &PlacementOptions::prefersOwnZone);
   comparePlacement("weighed_ratio", &PlacementOptions::weighedRatio);
   comparePlacement("zone_leaves_ratio", &PlacementOptions::zoneLeavesRatio);
+  comparePlacement("full_zone_load", &PlacementOptions::fullZoneLoad);
   const auto compareCold = [&](const char* key, auto member) {
     if (before.coldHosts.*member != after.coldHosts.*member) {
       changes.push_back({key, false});
--- /dev/null
+++ b/test/bench/load_model/load_model_test.cc
@@ -0,0 +1,92 @@
+/** @file What callers get on heavy days, by the load model: the figures that decisions are kept for. */
+#include "bench/load_model/heavy_days.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold::load_model {
+namespace {
+
+/** A third of the usual day, so that a test takes a second. */
+LoadDay smallDay() {
+  LoadDay day = usualDay();
+  for (LoadZone& zone : day.zones) {
+    zone.nodes = 9;
+    zone.hosts = 14;
+    zone.users = zone.users * 14 / 40;
+  }
+  return day;
+}
+
+double spreadOfZones(const LoadResult& result) {
+  double best = 0.0;
+  double worst = 1.0;
+  for (const LoadOutcome& zone : result.zones) {
+    best = std::max(best, zone.inAimPart());
+    worst = std::min(worst, zone.inAimPart());
+  }
+  return best - worst;
+}
+
+double failedPart(const LoadResult& result) {
+  return static_cast<double>(result.all.failed) / static_cast<double>(result.all.asked);
+}
+
+}  // namespace
+
+TEST_GROUP(LoadModel){};
+
+TEST(LoadModel, IsTheSameForTheSameSeed) {
+  const LoadDay day = smallDay();
+  const LoadResult first = playDay(day);
+  const LoadResult second = playDay(day);
+  LONGS_EQUAL(first.all.inAim, second.all.inAim);
+  DOUBLES_EQUAL(first.busiestToMean, second.busiestToMean, 0.0);
+}
+
+TEST(LoadModel, AUsualDayIsServedInTheCallersZone) {
+  const LoadResult result = playDay(smallDay());
+  CHECK_TRUE(result.all.asked > 10000);
+  // Those that are under way at the end are in none of the counts.
+  LONGS_EQUAL(0, result.all.late + result.all.refused + result.all.failed);
+  DOUBLES_EQUAL(0.0, result.otherZonePart, 1e-9);
+}
+
+/** Five times the callers, of whom one zone has 40%: its callers got 0.848 in aim and those of the best zone 0.879
+ * (whole size, three seeds); with zones that are left once they are full 0.862 and 0.871. */
+TEST(LoadModel, InABurstTheCallersOfNoZoneAreMuchWorseOff) {
+  LoadDay day = smallDay();
+  LoadEvent burst;
+  burst.from = 4.0;
+  burst.to = 9.0;
+  burst.users = 5.0;
+  day.events = {burst};
+  day.seconds = 10.0;
+  const LoadResult spread = playDay(day);
+  day.placement.fullZoneLoad = 1e9;
+  const LoadResult zoneFirst = playDay(day);
+  CHECK_TRUE(spreadOfZones(spread) * 2 < spreadOfZones(zoneFirst));
+  CHECK_TRUE(spread.busiestToMean < 1.2);
+  CHECK_TRUE(zoneFirst.busiestToMean > 1.2);
+  CHECK_TRUE(spread.all.servedPart() >= zoneFirst.all.servedPart());
+}
+
+/** A quarter of the hosts falls silent. Requests under way then are lost where they may not run twice; the others need not
+ * be, and callers that rest lose nothing. */
+TEST(LoadModel, ADarkQuarterCostsLittleMoreThanWhatWasUnderWay) {
+  LoadDay day = smallDay();
+  LoadEvent dark;
+  dark.from = 4.0;
+  dark.to = 10.0;
+  dark.deadPart = 0.25;
+  day.events = {dark};
+  day.seconds = 12.0;
+  const LoadResult shared = playDay(day);
+  day.sharesSilence = false;
+  const LoadResult alone = playDay(day);
+  CHECK_TRUE(failedPart(shared) < 0.004);
+  CHECK_TRUE(failedPart(shared) * 2 < failedPart(alone));
+}
+
+}  // namespace umberhold::load_model
--- a/test/common/flow/flow_placement_test.cc
+++ b/test/common/flow/flow_placement_test.cc
@@ -75,6 +75,41 @@
   CHECK_TRUE(placed[1] * 15 < placed[2]);
 }
 
+/** 10 hosts of 2 slots in each zone; the node has 1 of the 10 nodes of its zone. */
+TEST(FlowPlacement, AZoneIsPreferredUntilItsSlotsAreFullAndThenSpreadsAPart) {
+  setHosts(10, 10);
+  for (uint64_t number = 1; number <= 20; ++number) {
+    host(number).spec.slots = 2;
+  }
+  RequestsUnderWay& underWay = hosts.findPool("dispatch")->underWay;
+  const auto ownPart = [&](double requestsPerSlot) {
+    underWay = RequestsUnderWay{};
+    // Of this node's share of 20 slots.
+    underWay.onEnded(now, std::chrono::duration_cast<Duration>(
+                              std::chrono::duration<double>(2.0 * requestsPerSlot)));
+    FlowPlacement placement("bole", options, random);
+    placement.setZoneNodes(10);
+    int own = 0;
+    for (int index = 0; index < 1000; ++index) {
+      own += placement.place(now, *hosts.findPool("dispatch"), 0)->spec.zone == "bole" ? 1 : 0;
+    }
+    return own / 1000.0;
+  };
+  DOUBLES_EQUAL(1.0, ownPart(0.2), 1e-9);
+  DOUBLES_EQUAL(1.0, ownPart(0.69), 1e-9);
+  DOUBLES_EQUAL(0.75, ownPart(1.4), 0.05);  // Half is preferred; half of the rest lies here.
+  DOUBLES_EQUAL(0.5, ownPart(70.0), 0.05);
+  options.fullZoneLoad = 1000.0;
+  DOUBLES_EQUAL(1.0, ownPart(70.0), 1e-9);
+}
+
+TEST(FlowPlacement, AHostThatDoesNotSayItsSlotsIsNeverFull) {
+  setHosts(2, 2);
+  hosts.findPool("dispatch")->underWay.onEnded(now, seconds(100));
+  auto placed = place(100);
+  LONGS_EQUAL(100, placed[1] + placed[2]);
+}
+
 TEST(FlowPlacement, SaysOnceThatAHostBecameSlowAndOnceThatItIsUsualAgain) {
   setHosts(3, 0);
   FlowPlacement placement("bole", options, random);
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -32,6 +32,7 @@
 prefer_own_zone = false
 weighed_ratio = 1.5
 zone_leaves_ratio = 1000
+full_zone_load = 0.5
 )";
 
 std::string with(const std::string& from, const std::string& to) {
@@ -56,7 +57,7 @@
   CHECK_TRUE(isOk(settings));
   const TokenNodeSettings& read = valueOf(settings);
   CHECK_FALSE(read.sharesObservations);
-  CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0}));
+  CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0, 0.5}));
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
   STRCMP_EQUAL("bole", read.zone.c_str());
