--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -273,7 +273,8 @@
 }
 
 void TokenDirector::noteSign(TokenHost& host) {
-  if (!std::exchange(host.hasSigns, true)) {
+  if (!host.hasSigns && changedSigns_.size() < kMostSamples) {
+    host.hasSigns = true;
     changedSigns_.push_back(host.token);
   }
 }
--- a/source/common/health/zone_silence.cc
+++ b/source/common/health/zone_silence.cc
@@ -35,14 +35,14 @@
 std::vector<HostSign> SignGatherer::take(TimePoint now) {
   std::vector<HostSign> report;
   for (const auto& [token, sign] : signs_) {
-    HostSign& told = report.emplace_back();
-    told.token = token;
-    told.answeredAgoMilliseconds =
+    HostSign& reported = report.emplace_back();
+    reported.token = token;
+    reported.answeredAgoMilliseconds =
         sign.answeredAt ? millisecondsSince(*sign.answeredAt, now) : kNeverAnswered;
-    told.copies = sign.copies;
-    told.callers = sign.callers;
-    told.callers.resize(std::min(told.callers.size(), kMostReportedCallers));
-    told.silentMilliseconds = sign.copies == 0 ? 0 : millisecondsSince(sign.since, now);
+    reported.copies = sign.copies;
+    reported.callers = sign.callers;
+    reported.callers.resize(std::min(reported.callers.size(), kMostReportedCallers));
+    reported.silentMilliseconds = sign.copies == 0 ? 0 : millisecondsSince(sign.since, now);
   }
   std::stable_sort(report.begin(), report.end(), [](const HostSign& left, const HostSign& right) {
     return left.copies > right.copies;
