--- a/bench/load_model/load_day.h
+++ b/bench/load_model/load_day.h
@@ -47,8 +47,8 @@
   kNodes,
   /** Any host. */
   kRandom,
-  /** The host with the least to do, by its open flows, its queue and its pace: what a placement
-   * reaches that knows all of them at once. */
+  /** The host with the least to do at that moment, by its open flows, its queue and its pace, all
+   * of which are known at once. Greedy, so no bound on what a placement can reach. */
   kCentral,
 };
 
--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -266,14 +266,13 @@
   }
   static bool takesFlows(const Host& host) { return !host.leaving && !host.dead; }
   std::optional<size_t> anyHost() {
-    const size_t first = random_.below(hosts_.size());
-    for (size_t step = 0; step < hosts_.size(); ++step) {
-      const size_t index = (first + step) % hosts_.size();
+    std::vector<size_t> able;
+    for (size_t index = 0; index < hosts_.size(); ++index) {
       if (takesFlows(hosts_[index])) {
-        return index;
+        able.push_back(index);
       }
     }
-    return std::nullopt;
+    return able.empty() ? std::nullopt : std::optional(able[random_.below(able.size())]);
   }
   std::optional<size_t> emptiestHost() const {
     std::optional<size_t> best;
