Weigh openings that wait and packets that wait for hosts; test both in a running node

Tests of packets that wait stand in token_director_waiting_test.cc, without a change to what they ask. The load model prints rows for 3, 5 and 6 openings a slot.

Ruled out: nothing.

--- a/bench/load_model/heavy_days.cc
+++ b/bench/load_model/heavy_days.cc
@@ -12,6 +12,11 @@
   return day;
 }
 
+/** @return a way with so many openings under way for each slot of the hosts. */
+std::function<void(LoadDay&)> withOpenings(double openingsPerSlot) {
+  return [openingsPerSlot](LoadDay& day) { day.openings.openingsPerSlot = openingsPerSlot; };
+}
+
 }  // namespace
 
 LoadDay usualDay() {
@@ -59,7 +64,10 @@
           {"central, all known", [](LoadDay& day) { day.chooser = Chooser::kCentral; }},
           {"zone first", keepsFullZones},
           {"zone until it is full", [](LoadDay&) {}},
-          {"no opening waits", [](LoadDay& day) { day.openings.openingsPerSlot = 0.0; }},
+          {"no opening waits", withOpenings(0.0)},
+          {"3 openings a slot", withOpenings(3.0)},
+          {"5 openings a slot", withOpenings(5.0)},
+          {"6 openings a slot", withOpenings(6.0)},
           {"refused at once", [](LoadDay& day) { day.openings.longestWaitPart = 0.0; }},
           {"full at 0.5", [](LoadDay& day) { day.placement.fullZoneLoad = 0.5; }},
           {"no zone preferred", [](LoadDay& day) { day.placement.prefersOwnZone = false; }}};
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/flow/token_director_test.cc
@@ -162,28 +162,6 @@
   LONGS_EQUAL(0, director.takeReleased(now).size());
 }
 
-/** A node that has started in an outage of the store hears of hosts that live only later. */
-TEST(TokenDirector, PacketsWaitForAHostThatIsNotKnownYet) {
-  const uint32_t token = flowTokenOf(3);
-  const FlowPacket early = packet(PacketPhase::kContinuing, 500, token);
-  CHECK_TRUE(isHeld(director.decide(now, early, "early")));
-  now += milliseconds(900);
-  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
-  const auto released = director.takeReleased(now);
-  LONGS_EQUAL(1, released.size());
-  STRCMP_EQUAL("early", released.front().c_str());
-  CHECK_EQUAL(3, hostOf(next(500, token)));
-  LONGS_EQUAL(0, director.takeReleased(now).size());
-}
-
-TEST(TokenDirector, PacketsDoNotWaitForAHostLongerThanTheirCallersDo) {
-  const FlowPacket early = packet(PacketPhase::kContinuing, 500, flowTokenOf(3));
-  director.decide(now, early, "early");
-  now += HeldPackets::kLongest + milliseconds(1);
-  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
-  LONGS_EQUAL(0, director.takeReleased(now).size());
-}
-
 TEST(TokenDirector, RefusesFlowsOfAHostThatLeftAndWhoseAddressALaterOneHas) {
   HostSpec successor = makeHost(3);
   successor.endpoint = makeHost(1).endpoint;
--- a/test/common/flow/token_director_openings_test.cc
+++ b/test/common/flow/token_director_waiting_test.cc
@@ -1,4 +1,5 @@
-/** @file Openings that the director lets wait, places or refuses while hosts have enough to do. */
+/** @file Packets that the director lets wait: openings while hosts have enough to do, and packets
+ * whose host has no entry yet. */
 #include "common/flow/token_director.h"
 
 #include <string>
@@ -20,7 +21,7 @@
 
 }  // namespace
 
-TEST_GROUP(TokenDirectorOpenings) {
+TEST_GROUP(TokenDirectorWaiting) {
   RandomSource random{7};
   TokenDirector director{{"bole", seconds(60)}, random};
   TimePoint now{seconds(1000)};
@@ -40,9 +41,9 @@
     service.requestTimeoutMilliseconds = 1200;
     director.setService(service);
   }
-  void setHosts(uint32_t slots) {
+  void setHosts(uint32_t slots, uint64_t count = 2) {
     HostPool pool{"dispatch", {}};
-    for (uint64_t number = 1; number <= 2; ++number) {
+    for (uint64_t number = 1; number <= count; ++number) {
       HostSpec host;
       host.name = "h-" + std::to_string(number);
       host.endpoint = {static_cast<uint32_t>(number), 8080};
@@ -86,14 +87,14 @@
   }
 };
 
-TEST(TokenDirectorOpenings, WhatHostsCanNotBeginToWorkOnWaits) {
+TEST(TokenDirectorWaiting, WhatHostsCanNotBeginToWorkOnWaits) {
   fill();
   CHECK_TRUE(std::holds_alternative<HoldPacket>(open(kUsual, 20)));
   LONGS_EQUAL(0, director.takeReleased(now).size());
   CHECK_TRUE(director.nextRelease().has_value());
 }
 
-TEST(TokenDirectorOpenings, TheMoreUrgentServiceGoesFirst) {
+TEST(TokenDirectorWaiting, TheMoreUrgentServiceGoesFirst) {
   uint32_t token = 0;
   for (uint64_t flow = 1; flow <= kLimit; ++flow) {
     token = openAtHost(kUsual, flow);
@@ -109,7 +110,7 @@
   CHECK_TRUE(std::holds_alternative<HoldPacket>(open(kUsual, 20)));
 }
 
-TEST(TokenDirectorOpenings, WhatHasWaitedTooLongIsRefused) {
+TEST(TokenDirectorWaiting, WhatHasWaitedTooLongIsRefused) {
   fill();
   open(kUsual, 20);
   now += milliseconds(199);
@@ -121,7 +122,7 @@
   CHECK_TRUE(std::get<RefuseFlow>(decision).reason == RefusalReason::kHostsBusy);
 }
 
-TEST(TokenDirectorOpenings, FlowsThatAreOpenAreNotHeldUp) {
+TEST(TokenDirectorWaiting, FlowsThatAreOpenAreNotHeldUp) {
   const uint32_t token = openAtHost(kUsual, 50);
   acknowledge(kUsual, 50, token, 100);
   acknowledge(kUsual, 50, token, 700);
@@ -133,7 +134,7 @@
   CHECK_TRUE(std::holds_alternative<ForwardToHost>(director.decide(now, data, "")));
 }
 
-TEST(TokenDirectorOpenings, ACopyOfAnOpeningThatWasPlacedDoesNotWait) {
+TEST(TokenDirectorWaiting, ACopyOfAnOpeningThatWasPlacedDoesNotWait) {
   const uint32_t first = openAtHost(kUsual, 50);
   for (uint64_t flow = 1; flow < kLimit; ++flow) {
     acknowledge(kUsual, flow, openAtHost(kUsual, flow), 100);
@@ -142,9 +143,34 @@
   CHECK_TRUE(openAtHost(kUsual, 50) != first);
 }
 
-TEST(TokenDirectorOpenings, NothingWaitsWhereHostsDoNotTellTheirSlots) {
+TEST(TokenDirectorWaiting, NothingWaitsWhereHostsDoNotTellTheirSlots) {
   setHosts(0);
   for (uint64_t flow = 1; flow <= 100; ++flow) {
     openAtHost(kUsual, flow);
   }
 }
+
+/** A node that has started in an outage of the store hears of hosts that live only later. */
+TEST(TokenDirectorWaiting, PacketsWaitForAHostThatIsNotKnownYet) {
+  FlowPacket early = packet(kUsual, 500, PacketPhase::kContinuing);
+  early.token = flowTokenOf(3);
+  CHECK_TRUE(std::holds_alternative<HoldPacket>(director.decide(now, early, "early")));
+  now += milliseconds(900);
+  setHosts(1, 3);
+  const auto released = director.takeReleased(now);
+  LONGS_EQUAL(1, released.size());
+  STRCMP_EQUAL("early", released.front().c_str());
+  const FlowDecision decision = director.decide(now, early, "early");
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(decision));
+  LONGS_EQUAL(flowTokenOf(3), std::get<ForwardToHost>(decision).token);
+  LONGS_EQUAL(0, director.takeReleased(now).size());
+}
+
+TEST(TokenDirectorWaiting, PacketsDoNotWaitForAHostLongerThanTheirCallersDo) {
+  FlowPacket early = packet(kUsual, 500, PacketPhase::kContinuing);
+  early.token = flowTokenOf(3);
+  director.decide(now, early, "early");
+  now += HeldPackets::kLongest + milliseconds(1);
+  setHosts(1, 3);
+  LONGS_EQUAL(0, director.takeReleased(now).size());
+}
--- a/test/platform/store/edge_node_test.cc
+++ b/test/platform/store/edge_node_test.cc
@@ -253,6 +253,38 @@
   CHECK_EQUAL(200, askReadiness());
 }
 
+/** After an outage of the store a host that lives may be without an entry for a while. */
+TEST(EdgeNode, CarriesAFlowOnWhoseHostIsRegisteredAfterItsPacketCame) {
+  configure();
+  CHECK_TRUE(awaitReadiness(200));
+  const auto later = UdpPort::open(kAnyPort);
+  CHECK_TRUE(isOk(later));
+  const uint32_t token = flowTokenOf(0xABCD);
+  caller->send(node->data(), packetOf(kAck, token));
+  CHECK_TRUE(awaitMetric(R"(umberhold_packets_total{decision="held"} 1)"));
+  store->objects().set("servers", "i-abcd", hostEntry(valueOf(later)->local()));
+  const std::string got = take(*valueOf(later)).value_or("");
+  CHECK_TRUE(!got.empty() && got.substr(kIncarnationBytes) == packetOf(kAck, token));
+}
+
+/** A host of two slots has eight openings under way; the ninth waits until one of them, which its
+ * caller does not follow, counts no longer. */
+TEST(EdgeNode, HoldsAnOpeningUntilTheHostHasRoomForIt) {
+  configure();
+  CHECK_TRUE(awaitReadiness(200));
+  const TimePoint begin = steadyNow();
+  for (uint16_t flow = 0; flow < 9; ++flow) {
+    std::string packet = packetOf(kSyn, 0);
+    put(packet, 17, kCallerPort + flow, 2);
+    CHECK_FALSE(flow < 8 && pass(packet).empty());
+    if (flow == 8) {
+      caller->send(node->data(), packet);
+    }
+  }
+  CHECK_TRUE(take(*host).has_value());
+  CHECK_TRUE(steadyNow() - begin >= milliseconds(150));
+}
+
 /** The log's pipe is full and nobody reads it: packets and questions are answered all the same. */
 TEST(EdgeNode, GoesOnForwardingWhileNobodyReadsItsLog) {
   std::array<int, 2> ends{-1, -1};
