Say in the log what a held packet waits for

Change: HoldPacket carries a reason (takeover, host_unknown, hosts_busy); the line tells reason, phase and token as that of a drop does.

--- a/source/common/flow/flow_director.cc
+++ b/source/common/flow/flow_director.cc
@@ -20,4 +20,16 @@
   return "unknown";
 }
 
+std::string_view toString(HoldReason reason) {
+  switch (reason) {
+    case HoldReason::kTakeover:
+      return "takeover";
+    case HoldReason::kHostUnknown:
+      return "host_unknown";
+    case HoldReason::kHostsBusy:
+      return "hosts_busy";
+  }
+  return "unknown";
+}
+
 }  // namespace umberhold
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -126,8 +126,24 @@
   uint32_t acknowledged = 0;
   RefusalReason reason = RefusalReason::kHostEnded;
 };
-/** The director keeps a copy (it was given the bytes) and releases it by a HeldPacketSink. */
-struct HoldPacket {};
+/** What a packet waits for. */
+enum class HoldReason : uint8_t {
+  /** The owner of its flow is being found. */
+  kTakeover,
+  /** No known host has its token; the host may be without an entry for a moment. */
+  kHostUnknown,
+  /** An opening: the hosts have enough to do. */
+  kHostsBusy,
+};
+
+/** @return the snake_case label of a reason. */
+std::string_view toString(HoldReason reason);
+
+/** The director keeps a copy (it was given the bytes) and releases it later, by a HeldPacketSink or
+ * to its caller. */
+struct HoldPacket {
+  HoldReason reason = HoldReason::kTakeover;
+};
 /** Drop and count. */
 struct DropPacket {
   DropReason reason = DropReason::kMalformed;
--- a/source/common/flow/token_director.cc
+++ b/source/common/flow/token_director.cc
@@ -156,7 +156,7 @@
   const OpeningTurn turn =
       avoided == 0 ? queue(now, service->second, packet, bytes) : OpeningTurn::kPlace;
   if (turn == OpeningTurn::kWait) {
-    return HoldPacket{};
+    return HoldPacket{HoldReason::kHostsBusy};
   }
   if (turn == OpeningTurn::kRefuse) {
     return RefuseFlow{RefusalReason::kHostsBusy};
@@ -216,7 +216,7 @@
     return DropPacket{DropReason::kHostGone};
   }
   awaiting_.hold(now, packet, bytes);
-  return HoldPacket{};
+  return HoldPacket{HoldReason::kHostUnknown};
 }
 
 FlowDecision TokenDirector::follow(TimePoint now, const FlowPacket& packet,
--- a/source/common/server/flow_log.cc
+++ b/source/common/server/flow_log.cc
@@ -202,11 +202,12 @@
   }
 }
 
-void FlowLog::log(const Seen& seen, const HoldPacket& /*decision*/) {
+void FlowLog::log(const Seen& seen, const HoldPacket& decision) {
   if (admit(seen.now, LineKind::kFailure)) {
     LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO)
-        << "event=packet_held flow=" << FlowText{seen.packet.key}
-        << " request=" << RequestText{seen.requestId};
+        << "event=packet_held reason=" << umberhold::toString(decision.reason)
+        << " flow=" << FlowText{seen.packet.key} << " phase=" << toString(seen.packet.phase)
+        << " token=" << seen.packet.token << " request=" << RequestText{seen.requestId};
   }
 }
 
