--- a/bench/load_model/load_day.h
+++ b/bench/load_model/load_day.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "common/flow/opening_queue.h"
-#include "common/flow/placement_options.h"
+#include "common/admission/opening_queue.h"
+#include "common/token/placement_options.h"
 
 namespace umberhold::load_model {
 
--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -10,8 +10,8 @@
 
 #include "bench/load_model/load_day.h"
 #include "common/base/hash.h"
-#include "common/flow/token_director.h"
 #include "common/health/zone_silence.h"
+#include "common/token/token_director.h"
 
 namespace umberhold::load_model {
 namespace {
--- a/source/common/flow/opening_queue.cc
+++ b/source/common/admission/opening_queue.cc
@@ -1,4 +1,4 @@
-#include "common/flow/opening_queue.h"
+#include "common/admission/opening_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/common/config/service.h
+++ b/source/common/config/service.h
@@ -136,13 +136,15 @@
   uint32_t priority = 1;
   /** Callers give a request up after so long; 0: not known. For the strategy "token" only. */
   uint32_t requestTimeoutMilliseconds = 0;
+  /** Callers want an answer within so long; 0: not known. For the strategy "token" only. */
+  uint32_t targetLatencyMilliseconds = 0;
 
   bool operator==(const Service&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(name, region, address, port, protocol, policy, idleTimeoutSeconds, shardCount, hosts,
-            groups, repeatable, priority, requestTimeoutMilliseconds);
+            groups, repeatable, priority, requestTimeoutMilliseconds, targetLatencyMilliseconds);
   }
 };
 
--- a/source/common/health/host_observations.h
+++ b/source/common/health/host_observations.h
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "common/base/time.h"
-#include "common/flow/token_director.h"
 #include "common/messages/peer_messages.h"
+#include "common/token/token_director.h"
 
 namespace umberhold {
 
--- a/source/common/health/zone_silence.h
+++ b/source/common/health/zone_silence.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "common/base/time.h"
-#include "common/flow/silence_evidence.h"
 #include "common/messages/peer_messages.h"
+#include "common/token/silence_evidence.h"
 
 namespace umberhold {
 
--- a/source/common/platform/object_json.cc
+++ b/source/common/platform/object_json.cc
@@ -256,6 +256,8 @@
       reader.optionalInteger("priority", 0, kHighestUint32, service.priority));
   service.requestTimeoutMilliseconds = static_cast<uint32_t>(
       reader.optionalInteger("request_timeout_milliseconds", 0, kHighestUint32, 0));
+  service.targetLatencyMilliseconds = static_cast<uint32_t>(
+      reader.optionalInteger("target_latency_milliseconds", 0, kHighestUint32, 0));
   reader.refuseOtherKeys();
   if (error) {
     return *error;
@@ -283,6 +285,9 @@
   if (service.requestTimeoutMilliseconds > 0) {
     object.set("request_timeout_milliseconds", service.requestTimeoutMilliseconds);
   }
+  if (service.targetLatencyMilliseconds > 0) {
+    object.set("target_latency_milliseconds", service.targetLatencyMilliseconds);
+  }
   return stringify(object);
 }
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -9,7 +9,6 @@
 #include <random>
 #include <utility>
 
-#include "common/flow/token_director.h"
 #include "common/packet/packet_path.h"
 #include "common/platform/steady_now.h"
 #include "common/server/catalog_reader.h"
@@ -18,6 +17,7 @@
 #include "common/server/poll_http_port.h"
 #include "common/server/poll_loop.h"
 #include "common/server/token_node_metrics.h"
+#include "common/token/token_director.h"
 
 namespace umberhold {
 namespace {
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -6,12 +6,12 @@
 #include <string_view>
 #include <vector>
 
+#include "common/admission/opening_queue.h"
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
-#include "common/flow/cold_hosts.h"
-#include "common/flow/opening_queue.h"
-#include "common/flow/placement_options.h"
 #include "common/settings/settings.h"
+#include "common/token/cold_hosts.h"
+#include "common/token/placement_options.h"
 
 namespace umberhold {
 
--- a/source/common/flow/cold_hosts.cc
+++ b/source/common/token/cold_hosts.cc
@@ -1,4 +1,4 @@
-#include "common/flow/cold_hosts.h"
+#include "common/token/cold_hosts.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/common/flow/dead_host_flows.cc
+++ b/source/common/token/dead_host_flows.cc
@@ -1,4 +1,4 @@
-#include "common/flow/dead_host_flows.h"
+#include "common/token/dead_host_flows.h"
 
 namespace umberhold {
 
--- a/source/common/flow/dead_host_flows.h
+++ b/source/common/token/dead_host_flows.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "common/flow/flow_director.h"
-#include "common/flow/recent_flows.h"
+#include "common/token/recent_flows.h"
 
 namespace umberhold {
 
--- a/source/common/flow/flow_placement.cc
+++ b/source/common/token/flow_placement.cc
@@ -1,4 +1,4 @@
-#include "common/flow/flow_placement.h"
+#include "common/token/flow_placement.h"
 
 #include <algorithm>
 #include <map>
--- a/source/common/flow/flow_placement.h
+++ b/source/common/token/flow_placement.h
@@ -16,9 +16,9 @@
 #include "common/base/random.h"
 #include "common/config/evacuated_zones.h"
 #include "common/flow/flow_director.h"
-#include "common/flow/placement_options.h"
-#include "common/flow/silent_zones.h"
-#include "common/flow/token_hosts.h"
+#include "common/token/placement_options.h"
+#include "common/token/silent_zones.h"
+#include "common/token/token_hosts.h"
 
 namespace umberhold {
 
--- a/source/common/flow/flow_progress.cc
+++ b/source/common/token/flow_progress.cc
@@ -1,4 +1,4 @@
-#include "common/flow/flow_progress.h"
+#include "common/token/flow_progress.h"
 
 #include "common/flow/sequence_number.h"
 
--- a/source/common/flow/group_shares.cc
+++ b/source/common/token/group_shares.cc
@@ -1,4 +1,4 @@
-#include "common/flow/group_shares.h"
+#include "common/token/group_shares.h"
 
 #include <algorithm>
 
--- a/source/common/flow/host_estimate.h
+++ b/source/common/token/host_estimate.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 
 #include "common/base/time.h"
-#include "common/flow/response_score.h"
+#include "common/token/response_score.h"
 
 namespace umberhold {
 
--- a/source/common/flow/opening_watch.cc
+++ b/source/common/token/opening_watch.cc
@@ -1,4 +1,4 @@
-#include "common/flow/opening_watch.h"
+#include "common/token/opening_watch.h"
 
 namespace umberhold {
 namespace {
--- a/source/common/flow/recent_flows.cc
+++ b/source/common/token/recent_flows.cc
@@ -1,4 +1,4 @@
-#include "common/flow/recent_flows.h"
+#include "common/token/recent_flows.h"
 
 #include "common/flow/sequence_number.h"
 
--- a/source/common/flow/request_timer.cc
+++ b/source/common/token/request_timer.cc
@@ -1,4 +1,4 @@
-#include "common/flow/request_timer.h"
+#include "common/token/request_timer.h"
 
 #include "common/flow/sequence_number.h"
 
--- a/source/common/flow/silent_zones.cc
+++ b/source/common/token/silent_zones.cc
@@ -1,4 +1,4 @@
-#include "common/flow/silent_zones.h"
+#include "common/token/silent_zones.h"
 
 #include <algorithm>
 
--- a/source/common/flow/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -1,4 +1,4 @@
-#include "common/flow/token_director.h"
+#include "common/token/token_director.h"
 
 #include <algorithm>
 #include <set>
--- a/source/common/flow/token_director.h
+++ b/source/common/token/token_director.h
@@ -17,21 +17,21 @@
 #include <utility>
 #include <vector>
 
+#include "common/admission/opening_queue.h"
 #include "common/base/random.h"
 #include "common/config/service.h"
-#include "common/flow/dead_host_flows.h"
 #include "common/flow/flow_director.h"
-#include "common/flow/flow_placement.h"
-#include "common/flow/flow_progress.h"
-#include "common/flow/group_shares.h"
 #include "common/flow/held_packets.h"
-#include "common/flow/opening_queue.h"
-#include "common/flow/opening_watch.h"
-#include "common/flow/request_timer.h"
-#include "common/flow/response_score.h"
 #include "common/flow/service_lookup.h"
-#include "common/flow/token_hosts.h"
 #include "common/messages/peer_messages.h"
+#include "common/token/dead_host_flows.h"
+#include "common/token/flow_placement.h"
+#include "common/token/flow_progress.h"
+#include "common/token/group_shares.h"
+#include "common/token/opening_watch.h"
+#include "common/token/request_timer.h"
+#include "common/token/response_score.h"
+#include "common/token/token_hosts.h"
 
 namespace umberhold {
 
--- a/source/common/flow/token_hosts.cc
+++ b/source/common/token/token_hosts.cc
@@ -1,4 +1,4 @@
-#include "common/flow/token_hosts.h"
+#include "common/token/token_hosts.h"
 
 #include <algorithm>
 #include <unordered_set>
--- a/source/common/flow/token_hosts.h
+++ b/source/common/token/token_hosts.h
@@ -13,14 +13,14 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/admission/requests_under_way.h"
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
 #include "common/config/service.h"
-#include "common/flow/cold_hosts.h"
-#include "common/flow/host_estimate.h"
-#include "common/flow/requests_under_way.h"
-#include "common/flow/response_score.h"
-#include "common/flow/silence_evidence.h"
+#include "common/token/cold_hosts.h"
+#include "common/token/host_estimate.h"
+#include "common/token/response_score.h"
+#include "common/token/silence_evidence.h"
 
 namespace umberhold {
 
--- a/test/common/flow/opening_queue_property.cc
+++ b/test/common/admission/opening_queue_property.cc
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "common/admission/opening_queue.h"
 #include "common/base/random.h"
-#include "common/flow/opening_queue.h"
 
 #include "test/support/without_leak_detection.h"
 
--- a/test/common/flow/opening_queue_test.cc
+++ b/test/common/admission/opening_queue_test.cc
@@ -1,5 +1,5 @@
 /** @file Openings that wait while hosts have enough to do. */
-#include "common/flow/opening_queue.h"
+#include "common/admission/opening_queue.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/requests_under_way_test.cc
+++ b/test/common/admission/requests_under_way_test.cc
@@ -1,5 +1,5 @@
 /** @file How many requests a node has under way, on average of late. */
-#include "common/flow/requests_under_way.h"
+#include "common/admission/requests_under_way.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/platform/object_json_test.cc
+++ b/test/common/platform/object_json_test.cc
@@ -151,6 +151,7 @@
   service.repeatable = true;
   service.priority = 0;
   service.requestTimeoutMilliseconds = 2500;
+  service.targetLatencyMilliseconds = 120;
   const auto readService = parseService("pickup", formatService(service));
   CHECK_TRUE(isOk(readService));
   CHECK_TRUE(valueOf(readService) == service);
--- a/test/common/flow/cold_hosts_test.cc
+++ b/test/common/token/cold_hosts_test.cc
@@ -1,5 +1,5 @@
 /** @file What one node, and all nodes together, give to hosts that have just started. */
-#include "common/flow/cold_hosts.h"
+#include "common/token/cold_hosts.h"
 
 #include <algorithm>
 
--- a/test/common/flow/dead_host_flows_test.cc
+++ b/test/common/token/dead_host_flows_test.cc
@@ -1,5 +1,5 @@
 /** @file Which flows of dead hosts are reset. */
-#include "common/flow/dead_host_flows.h"
+#include "common/token/dead_host_flows.h"
 
 #include <string>
 
--- a/test/common/flow/flow_placement_test.cc
+++ b/test/common/token/flow_placement_test.cc
@@ -1,5 +1,5 @@
 /** @file New flows avoid hosts and zones that answer late. */
-#include "common/flow/flow_placement.h"
+#include "common/token/flow_placement.h"
 
 #include <map>
 #include <string>
--- a/test/common/flow/flow_progress_test.cc
+++ b/test/common/token/flow_progress_test.cc
@@ -1,5 +1,5 @@
 /** @file Which packets count as copies that a host left without an acknowledgement. */
-#include "common/flow/flow_progress.h"
+#include "common/token/flow_progress.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/group_shares_test.cc
+++ b/test/common/token/group_shares_test.cc
@@ -1,5 +1,5 @@
 /** @file New flows are split over groups by their shares. */
-#include "common/flow/group_shares.h"
+#include "common/token/group_shares.h"
 
 #include <map>
 
--- a/test/common/flow/living_hosts_property.cc
+++ b/test/common/token/living_hosts_property.cc
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "common/base/hash.h"
-#include "common/flow/token_director.h"
 #include "common/health/observation_exchange.h"
+#include "common/token/token_director.h"
 
 #include "test/support/without_leak_detection.h"
 
--- a/test/common/flow/opening_watch_test.cc
+++ b/test/common/token/opening_watch_test.cc
@@ -1,5 +1,5 @@
 /** @file Openings that callers do not go on with. */
-#include "common/flow/opening_watch.h"
+#include "common/token/opening_watch.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/recent_flows_test.cc
+++ b/test/common/token/recent_flows_test.cc
@@ -1,5 +1,5 @@
 /** @file The flows that a node carried of late, found again by their host. */
-#include "common/flow/recent_flows.h"
+#include "common/token/recent_flows.h"
 
 #include <vector>
 
--- a/test/common/flow/request_timer_property.cc
+++ b/test/common/token/request_timer_property.cc
@@ -3,7 +3,7 @@
 #include <rapidcheck.h>
 #include <map>
 
-#include "common/flow/request_timer.h"
+#include "common/token/request_timer.h"
 #include "test/support/without_leak_detection.h"
 
 #include <CppUTest/TestHarness.h>
--- a/test/common/flow/request_timer_test.cc
+++ b/test/common/token/request_timer_test.cc
@@ -1,5 +1,5 @@
 /** @file Requests are timed by their callers' packets alone. */
-#include "common/flow/request_timer.h"
+#include "common/token/request_timer.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/response_score_test.cc
+++ b/test/common/token/response_score_test.cc
@@ -1,5 +1,5 @@
 /** @file Running figures of how late answers come. */
-#include "common/flow/response_score.h"
+#include "common/token/response_score.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/silence_evidence_test.cc
+++ b/test/common/token/silence_evidence_test.cc
@@ -1,5 +1,5 @@
 /** @file Data that a host does not acknowledge, as one node sees it. */
-#include "common/flow/silence_evidence.h"
+#include "common/token/silence_evidence.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/silent_zones_test.cc
+++ b/test/common/token/silent_zones_test.cc
@@ -1,5 +1,5 @@
 /** @file Zones whose hosts fall silent together. */
-#include "common/flow/silent_zones.h"
+#include "common/token/silent_zones.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/common/flow/token_director_test.cc
+++ b/test/common/token/token_director_test.cc
@@ -1,5 +1,5 @@
 /** @file Flows without flow state: tokens name hosts, new flows are split and placed. */
-#include "common/flow/token_director.h"
+#include "common/token/token_director.h"
 
 #include <algorithm>
 #include <map>
--- a/test/common/flow/token_director_waiting_test.cc
+++ b/test/common/token/token_director_waiting_test.cc
@@ -1,6 +1,6 @@
 /** @file Packets that the director lets wait: openings while hosts have enough to do, and packets
  * whose host has no entry yet. */
-#include "common/flow/token_director.h"
+#include "common/token/token_director.h"
 
 #include <string>
 
--- a/test/platform/packet/flow_log_test.cc
+++ b/test/platform/packet/flow_log_test.cc
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "common/flow/token_director.h"
 #include "common/packet/packet_path.h"
+#include "common/token/token_director.h"
 #include "platform/packet/echo_format.h"
 #include "test/support/without_leak_detection.h"
 
--- a/test/platform/store/edge_node_test.cc
+++ b/test/platform/store/edge_node_test.cc
@@ -12,10 +12,10 @@
 #include <string>
 #include <thread>
 
-#include "common/flow/token_director.h"
 #include "common/log/structured_log.h"
 #include "common/platform/steady_now.h"
 #include "common/server/token_node.h"
+#include "common/token/token_director.h"
 #include "platform/packet/echo_format.h"
 #include "platform/store/object_store_adapter.h"
 #include "test/platform/store/standin_store.h"
--- a/test/platform/store/object_translation_test.cc
+++ b/test/platform/store/object_translation_test.cc
@@ -13,7 +13,7 @@
 const char* const kConfigurationPage = R"({"items":[{"meta":{"name":"main","revision":12,"made":3,
   "finalizers":[],"deleting":false},"status":null,"spec":{"version":7,"routes":[
   {"name":"r-a","host":"198.18.0.1","path_prefix":"/8443/","kind":"safe","timeout_ms":2000,
-   "priority":2,"traffic_split":[{"service":"s-one","weight":90},{"service":"s-two","weight":10}]},
+   "target_latency_ms":120,"priority":2,"traffic_split":[{"service":"s-one","weight":90},{"service":"s-two","weight":10}]},
   {"name":"r-b","host":"198.18.0.2","path_prefix":"/443/","service":"s-two","extra":{"a":[1]}}],
   "services":[{"name":"s-one","max_connections":1500},{"name":"s-two","health_path":"/health"}],
   "limits":{"idle_timeout_ms":15500}}}],"more":false,"at":20})";
@@ -54,9 +54,11 @@
   CHECK_TRUE(split.repeatable);
   LONGS_EQUAL(2, split.priority);
   LONGS_EQUAL(2000, split.requestTimeoutMilliseconds);
+  LONGS_EQUAL(120, split.targetLatencyMilliseconds);
   CHECK_FALSE(services[1].repeatable);
   LONGS_EQUAL(1, services[1].priority);
   LONGS_EQUAL(0, services[1].requestTimeoutMilliseconds);
+  LONGS_EQUAL(0, services[1].targetLatencyMilliseconds);
   CHECK_TRUE(services[1].groups == (std::vector<HostGroup>{{"s-two", 1}}));
   LONGS_EQUAL(443, services[1].port);
 }
