Let a planned stop end where nobody fetches or acknowledges a shard's state

Change: a fenced state holds a leave up for the 5 s of its notices only; a leaving former owner asks the successor and the named owner every 0.5 s who owns the shard (OwnershipNotice, which an owner answers with its epoch).

Tests: OwnerThatGaveWayWithFlowsHoldsALeaveUpForItsNoticesOnly and LeavingNodeAsksWhetherItsStateWasFetched fail before, pass after.

--- a/source/common/shard/local_shard.cc
+++ b/source/common/shard/local_shard.cc
@@ -338,12 +338,33 @@
     lastNotice_ = now;
     context_.send(successor_, OwnershipNotice{id_, epoch_, true});
   }
+  if (context_.leaving && !fenced_ && !handedOver_) {
+    askWhoOwns(now);
+  }
   if (now - releasedAt_ >= context_.options.releasedTime) {
     forgetState();
     role_ = ShardRole::kNone;
   }
 }
 
+/**
+ * Asks whoever may have fetched the state whether it owns the shard now; an owner answers with its
+ * epoch. A leaving node hears of a newer owner in no other way: the last acknowledgement of a fetch
+ * may be lost, and the successor may have taken a replica's copy instead.
+ */
+void LocalShard::askWhoOwns(TimePoint now) {
+  if (now - lastNotice_ < kNoticeInterval) {
+    return;
+  }
+  lastNotice_ = now;
+  const OwnershipNotice notice{id_, epoch_, false};
+  context_.send(successor_, notice);
+  const auto named = context_.map.lookup(id_);
+  if (named && named->owner != successor_) {
+    context_.send(named->owner, notice);
+  }
+}
+
 void LocalShard::tickSenders(TimePoint now) {
   for (auto& [node, sender] : takeoverSenders_) {
     const NodeId receiver = node;
@@ -402,13 +423,15 @@
   return {id_, role_, epoch_, context_.flows.flowCount(flowSlot_), fenced_, successor_};
 }
 
-bool LocalShard::isHandedOver() const {
+bool LocalShard::isHandedOver(TimePoint now) const {
   if (role_ == ShardRole::kOwner) {
     return false;
   }
-  // Nobody fetches the state of an owner that gave way: the newer one has its own.
+  // Nobody fetches the state of an owner that gave way: the newer one has its own. It only has to
+  // hear that there are flows which it doesn't know.
   const bool gaveWay = fenced_ && successor_ != context_.self();
-  const bool nothingToGive = gaveWay && context_.flows.flowCount(flowSlot_) == 0;
+  const bool noticed = now - releasedAt_ >= kFencedNoticeTime;
+  const bool nothingToGive = gaveWay && (noticed || context_.flows.flowCount(flowSlot_) == 0);
   return role_ != ShardRole::kReleased || handedOver_ || nothingToGive;
 }
 
--- a/source/common/shard/local_shard.h
+++ b/source/common/shard/local_shard.h
@@ -107,7 +107,7 @@
   /** @return whether nothing of the shard is held here and no view gives it to this node. */
   bool isIdle() const;
   /** @return whether a leaving node may forget the shard. */
-  bool isHandedOver() const;
+  bool isHandedOver(TimePoint now) const;
   /** @return what there is to hand over. */
   HeldShard heldShard() const;
   PlacementExplanation explain(TimePoint now, FlowHash flow) const;
@@ -139,6 +139,7 @@
   void fence(TimePoint now, NodeId newerOwner, uint32_t newerEpoch);
   void forgetState();
   void tickReleased(TimePoint now);
+  void askWhoOwns(TimePoint now);
   void tickSenders(TimePoint now);
   void tickReplica(TimePoint now);
   void sendNotice(TimePoint now);
--- a/source/common/shard/shard_director.cc
+++ b/source/common/shard/shard_director.cc
@@ -300,7 +300,7 @@
   for (const auto& [id, shard] : shards_) {
     const auto named = map_.lookup(id);
     const bool noSuccessor = !named || named->owner == context_.self();
-    if (!noSuccessor && !shard->isHandedOver()) {
+    if (!noSuccessor && !shard->isHandedOver(now_)) {
       held.push_back(shard->heldShard());
     }
   }
--- a/test/common/shard/shard_director_test.cc
+++ b/test/common/shard/shard_director_test.cc
@@ -80,6 +80,53 @@
     deliver(owner, chunk);
   }
 
+  void addHost() {
+    HostSpec host;
+    host.name = "host";
+    host.endpoint = Endpoint{0x0B000001, 6080};
+    Service service = *services.find(kShard.service);
+    service.hosts.push_back(host);
+    services.apply(2, kShard.service, service);
+    director.onServiceChanged(now, kShard.service);
+  }
+
+  /** Opens a flow, for which this node makes an entry. */
+  void openFlow() {
+    FlowPacket packet;
+    packet.hash = FlowHash{1};
+    packet.service = kShard.service;
+    packet.phase = PacketPhase::kOpening;
+    director.decide(now, packet, "packet");
+  }
+
+  /** The node hears of another one and leaves. */
+  void leaveBeside(NodeId other) {
+    Member newcomer;
+    newcomer.id = other;
+    newcomer.address = endpointOf(other).address;
+    newcomer.controlPort = endpointOf(other).port;
+    newcomer.state = MemberState::kAlive;
+    view.apply(newcomer);
+    director.onMemberChanged(newcomer);
+    Member leaving = member();
+    leaving.state = MemberState::kLeaving;
+    view.apply(leaving);
+    director.onMemberChanged(leaving);
+    director.leave(now);
+  }
+
+  /** @return the last notice that was sent to the node, if there is one. */
+  std::optional<OwnershipNotice> noticeTo(NodeId node) const {
+    std::optional<OwnershipNotice> last;
+    for (const auto& [to, message] : sent) {
+      const auto* notice = std::get_if<OwnershipNotice>(&message.body);
+      if (notice != nullptr && to == endpointOf(node)) {
+        last = *notice;
+      }
+    }
+    return last;
+  }
+
   TimePoint now{std::chrono::seconds(1)};
   SimulatedView view{member()};
   SimulatedServices services;
@@ -221,6 +268,45 @@
   CHECK(node.director.heldShards().empty());
 }
 
+/** Found with whole cores: an owner that had given way to one of the same epoch kept its planned
+ * stop waiting until the limit for flows that nobody fetches. */
+TEST(ShardDirector, OwnerThatGaveWayWithFlowsHoldsALeaveUpForItsNoticesOnly) {
+  constexpr auto kNoticeTime = std::chrono::seconds(5);
+  LoneNode node;
+  node.addHost();
+  node.tick();
+  node.openFlow();
+  node.deliver(kNewcomer, OwnershipNotice{kShard, 1, false});
+  node.leaveBeside(kNewcomer);
+  CHECK_EQUAL(1U, node.director.heldShards().size());
+  CHECK_EQUAL(1U, node.director.heldShards().front().flows);
+  CHECK(node.director.heldShards().front().gaveWay);
+  node.sent.clear();
+  node.tick();
+  CHECK(node.noticeTo(kNewcomer)->holdsFlows);
+  node.now += kNoticeTime;
+  node.tick();
+  CHECK(node.director.handedOver());
+}
+
+/** Found with whole cores: the last acknowledgement of a fetch was lost, and no message of the new
+ * owner reached the one that was leaving. */
+TEST(ShardDirector, LeavingNodeAsksWhetherItsStateWasFetched) {
+  LoneNode node;
+  node.tick();
+  node.leaveBeside(kNewcomer);
+  CHECK(node.ask(kNewcomer, 0)->role == HeldRole::kOwner);
+  CHECK_EQUAL(1U, node.director.heldShards().size());
+  node.sent.clear();
+  node.now += std::chrono::seconds(1);
+  node.tick();
+  const auto asked = node.noticeTo(kNewcomer);
+  CHECK(asked.has_value());
+  CHECK_FALSE(asked->holdsFlows);
+  node.deliver(kNewcomer, OwnershipNotice{kShard, asked->epoch + 1, false});
+  CHECK(node.director.handedOver());
+}
+
 TEST(ShardDirector, TellsWhatALeaveWaitsFor) {
   LoneNode node;
   node.tick();
