--- a/source/common/node/node_core.h
+++ b/source/common/node/node_core.h
@@ -1,8 +1,8 @@
 /**
  * @file One node's decision logic as a whole: membership, configuration, flows. No I/O.
  *
- * source/exe binds a NodeCore to sockets, a clock and the store; the simulator and the hollow scale
- * run drive the same class. Everything goes in through the on...() calls and comes out through
+ * source/exe binds a NodeCore to sockets, a clock and the store; the simulators drive
+ * the same class. Everything goes in through the on...() calls and comes out through
  * NodeOutputs.
  */
 #pragma once
