--- a/bench/experiment/deployment.h
+++ b/bench/experiment/deployment.h
@@ -56,7 +56,7 @@
 constexpr uint16_t kRelayPort = 21002;
 constexpr uint16_t kControlPort = 21003;
 constexpr uint16_t kAdminPort = 21004;
-/** Ports of the proxy on a node's address; other nodes are told these. */
+/** Ports of the proxy on a node's address; other nodes send to these. */
 constexpr uint16_t kRelayFrontPort = 21012;
 constexpr uint16_t kControlFrontPort = 21013;
 /** Where the node reaches the platform, through the proxy. */
--- a/bench/experiment/environment.h
+++ b/bench/experiment/environment.h
@@ -60,7 +60,8 @@
 
   const Deployment& deployment() const { return deployment_; }
   std::vector<NodePlan> nodes() const;
-  /** @return the services with the endpoints that their hosts told; empty before startSystem(). */
+  /** @return the services with the endpoints that their hosts reported; empty before startSystem().
+   */
   const std::vector<Service>& services() const { return services_; }
   /** @return hosts that run but are in no service yet, by service. */
   const std::map<std::string, std::vector<HostSpec>>& spareHosts() const { return spareHosts_; }
@@ -114,7 +115,7 @@
   NodeKeys keys_;
   std::vector<Service> services_;
   std::map<std::string, std::vector<HostSpec>> spareHosts_;
-  /** Nodes that the fabrics are told of, by id. */
+  /** Nodes that the fabrics know, by id. */
   std::map<uint32_t, NodePlan> announced_;
   ProcessGroup processes_;
 };
--- a/bench/experiment/evidence_collector.h
+++ b/bench/experiment/evidence_collector.h
@@ -12,7 +12,7 @@
 struct CallerProgress {
   uint64_t openFlows = 0;
   uint64_t outstandingRequests = 0;
-  /** Whether every region's callers told. */
+  /** Whether every region's callers reported. */
   bool complete = false;
 };
 
--- a/bench/experiment/experiment_result.h
+++ b/bench/experiment/experiment_result.h
@@ -21,7 +21,7 @@
   /** Accepted changes that were not effective in time or are gone. */
   uint64_t lostChanges = 0;
   uint64_t failedChanges = 0;
-  /** Whether all callers and hosts told what they saw; otherwise counts may be too low. */
+  /** Whether all callers and hosts reported what they saw; otherwise counts may be too low. */
   bool evidenceComplete = false;
 
   bool promiseBroken() const;
--- a/bench/experiment/scenario.cc
+++ b/bench/experiment/scenario.cc
@@ -159,7 +159,7 @@
   run.startNode(nodeAt(run, 2));
 }
 
-/** What one operator of a race was told. */
+/** What the calls of one operator of a race returned. */
 struct RaceLedger {
   size_t host = 0;
   uint32_t firstWeight = 0;
--- a/source/common/admin/admin_api.h
+++ b/source/common/admin/admin_api.h
@@ -12,7 +12,7 @@
 
 namespace umberhold {
 
-/** Changes that one node works on at once; more are told to come back. */
+/** Changes that one node works on at once; more get Retry-After. */
 constexpr uint32_t kMaxConcurrentChanges = 8;
 
 /** Thread safe. */
--- a/source/common/admin/change_outcome.h
+++ b/source/common/admin/change_outcome.h
@@ -84,7 +84,7 @@
   std::string detail;
 };
 
-/** What the operator is told. */
+/** What the operator's call returns. */
 using ChangeOutcome = std::variant<ChangeAccepted, ChangeConflict, ChangeBlocked, ChangeRefused,
                                    ChangeUnavailable, ChangeUnknown>;
 
--- a/source/common/admin/object_routes.cc
+++ b/source/common/admin/object_routes.cc
@@ -129,7 +129,7 @@
 
 /**
  * Runs a change after its checks. A repeat must not be judged by what its first run has already
- * changed, nor be told that nothing was run where the first run may have been.
+ * changed, nor get an answer that nothing was run where the first run may have been.
  */
 AdminResponse runChange(ApiContext& context, const ChangeRequest& change,
                         const AdminRequest& request, const Check& check) {
--- a/source/common/admin/status_routes.cc
+++ b/source/common/admin/status_routes.cc
@@ -47,7 +47,7 @@
 }
 
 Object::Ptr toJson(const CoverageStatus& coverage) {
-  const std::string text = "in force on " + std::to_string(coverage.nodesAtVersion) + " of " +
+  const std::string text = "applied on " + std::to_string(coverage.nodesAtVersion) + " of " +
                            std::to_string(coverage.nodes);
   Object::Ptr object = new Object;
   object->set("version", number(coverage.version));
--- a/source/common/admin/validation.h
+++ b/source/common/admin/validation.h
@@ -74,7 +74,7 @@
   std::string detail;
 };
 
-/** Everything wrong with a change (empty: nothing), or why that can't be told. */
+/** Everything wrong with a change (empty: nothing), or why that can't be known. */
 using ValidationResult = Result<ValidationErrors, ConfigurationUnreadable>;
 
 /** Read access to the whole known configuration. */
--- a/source/common/ctl/change_commands.cc
+++ b/source/common/ctl/change_commands.cc
@@ -58,7 +58,7 @@
     const bool complete = coverage && coverage->complete;
     if (complete || context.clock.now() + kCoveragePoll >= deadline) {
       std::ostream& out = complete ? context.out : context.errors;
-      out << "version " << version << " in force on "
+      out << "version " << version << " applied on "
           << (last ? std::to_string(last->inForce) + " of " + std::to_string(last->nodes)
                    : std::string("an unknown number of nodes"))
           << '\n';
--- a/source/common/ctl/command_line.cc
+++ b/source/common/ctl/command_line.cc
@@ -18,7 +18,7 @@
     "delete KIND NAME | drain SERVICE HOST | undrain SERVICE HOST | status | members | "
     "explain SERVICE IP:PORT | history [KIND NAME] | request ID [KIND NAME]. KIND is service or "
     "policy. Exit statuses: 0 done, 1 usage, 2 invalid, 3 conflict, 4 unavailable (nothing run), "
-    "5 unknown outcome, 6 not found, 7 not authorised, 8 accepted but not yet in force everywhere";
+    "5 unknown outcome, 6 not found, 7 not authorised, 8 accepted but not yet applied everywhere";
 
 using Words = std::vector<std::string>;
 using CommandResult = Result<Command, UsageError>;
@@ -48,7 +48,7 @@
   TCLAP::MultiArg<std::string> files{"f", "file", "objects in .toml or .json", false, "file"};
   TCLAP::SwitchArg dryRun{"", "dry-run", "only validate and compare"};
   TCLAP::SwitchArg diff{"", "diff", "print what changes"};
-  TCLAP::SwitchArg wait{"", "wait", "wait until it is in force on every node"};
+  TCLAP::SwitchArg wait{"", "wait", "wait until it is applied on every node"};
   TCLAP::ValueArg<uint32_t> waitSeconds{"",    "wait-seconds",      "longest wait",
                                         false, kDefaultWaitSeconds, "seconds"};
   TCLAP::SwitchArg overwrite{"", "overwrite", "base the change on whatever is current"};
--- a/source/common/flow/flow_table.h
+++ b/source/common/flow/flow_table.h
@@ -55,7 +55,7 @@
   uint32_t callerAddress = 0;
 };
 
-/** Told of flows that the table forgets by itself; not of erase() and removeShard(). */
+/** Called for flows that the table forgets by itself; not by erase() and removeShard(). */
 class FlowTableObserver {
  public:
   virtual ~FlowTableObserver() = default;
--- a/source/common/membership/member_table.cc
+++ b/source/common/membership/member_table.cc
@@ -26,16 +26,16 @@
 }  // namespace
 
 Member published(const Member& member) {
-  Member told = member;
-  if (told.state == MemberState::kSuspect) {
-    told.state = MemberState::kAlive;
+  Member sent = member;
+  if (sent.state == MemberState::kSuspect) {
+    sent.state = MemberState::kAlive;
   }
-  return told;
+  return sent;
 }
 
 MemberUpdate updateOf(const Member& member) {
-  const Member told = published(member);
-  return MemberUpdate{told.id, told.incarnation, told.state};
+  const Member sent = published(member);
+  return MemberUpdate{sent.id, sent.incarnation, sent.state};
 }
 
 bool overrides(uint64_t incarnation, MemberState state, const Member& known) {
--- a/source/common/membership/member_table.h
+++ b/source/common/membership/member_table.h
@@ -83,7 +83,7 @@
   uint64_t revision_ = 0;
 };
 
-/** @return the member as it is told to others: kSuspect becomes kAlive. */
+/** @return the member as it is sent to others: kSuspect becomes kAlive. */
 Member published(const Member& member);
 /** @return the same without the address. */
 MemberUpdate updateOf(const Member& member);
--- a/source/common/packet/packet_observer.h
+++ b/source/common/packet/packet_observer.h
@@ -10,7 +10,7 @@
 
 namespace umberhold {
 
-/** Told after the packet was acted on. Must neither block nor throw. */
+/** Called after the packet was acted on. Must neither block nor throw. */
 class PacketObserver {
  public:
   virtual ~PacketObserver() = default;
--- a/source/common/packet/packet_parser.h
+++ b/source/common/packet/packet_parser.h
@@ -25,7 +25,7 @@
   /** Sequence numbers of the transport, in formats that tell them. */
   uint32_t sequence = 0;
   uint32_t acknowledged = 0;
-  /** Bytes of data whose sequence number is told; 0 in formats that tell none. */
+  /** Bytes of data whose sequence number the packet holds; 0 in formats without one. */
   uint32_t dataBytes = 0;
 };
 
--- a/source/common/packet/request_header.h
+++ b/source/common/packet/request_header.h
@@ -11,7 +11,7 @@
 
 namespace umberhold {
 
-/** Longest identifier that is told; a longer one is cut. */
+/** Longest identifier that is logged; a longer one is cut. */
 constexpr size_t kLongestRequestId = 64;
 
 /**
--- a/source/common/platform/catalog_source.h
+++ b/source/common/platform/catalog_source.h
@@ -27,7 +27,7 @@
   bool operator==(const ObjectGone&) const = default;
 };
 
-/** One change of the catalogue. Evacuated zones are told as a whole. */
+/** One change of the catalogue. Evacuated zones come as a whole. */
 using CatalogChange = std::variant<Service, HostPool, ObjectGone, EvacuatedZones>;
 
 /** Changes that take effect together. */
--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -105,7 +105,7 @@
   void demandCurrentList();
   /** Calls may succeed again: the next one is made at once. */
   void retryNow() { pausedUntil_ = TimePoint{}; }
-  /** A peer told everything as of the version: there is nothing to list. */
+  /** A peer gave everything as of the version: there is nothing to list. */
   void beginAt(uint64_t version);
   /** @return whether next() asks for a page; an answer to an earlier question for one is outdated
    * where not. */
--- a/source/common/platform/first_list.h
+++ b/source/common/platform/first_list.h
@@ -48,7 +48,7 @@
   bool isUnderWay() const { return askedAt_.has_value(); }
   /** An answer came, or the call failed. */
   void onEnded() { askedAt_.reset(); }
-  /** The store was silent and answers again: peers can be told something, too. */
+  /** The store was silent and answers again: peers can be given something, too. */
   void onStoreReturned(TimePoint now) { opensAt_ = now + options_.patience; }
 
   /**
--- a/source/common/platform/http_connection.h
+++ b/source/common/platform/http_connection.h
@@ -3,7 +3,7 @@
  *
  * A call that fails leaves no connection behind: the next one opens a fresh one, because nothing
  * more can be expected of a connection whose answer was lost. A server that is cut off says
- * nothing, so the kernel is told to give unacknowledged bytes and silent peers up after a few
+ * nothing, so the kernel is set to give unacknowledged bytes and silent peers up after a few
  * seconds.
  */
 #pragma once
--- a/source/common/platform/retry.cc
+++ b/source/common/platform/retry.cc
@@ -5,7 +5,7 @@
 namespace umberhold {
 namespace {
 
-/** Spreads callers that were all told the same Retry-After. */
+/** Spreads callers that all got the same Retry-After. */
 constexpr int kRetryAfterSpread = 4;
 
 Duration drawUpTo(Duration longest, RandomSource& random) {
--- a/source/common/server/metric_families.cc
+++ b/source/common/server/metric_families.cc
@@ -92,7 +92,7 @@
 }
 
 MetricFamily reloadFamily(const ReloadCounters& reloads) {
-  return counterFamily("umberhold_settings_reloads_total", "Settings read anew while the node ran")
+  return counterFamily("umberhold_settings_reloads_total", "Settings read again while the node ran")
       .add(static_cast<double>(reloads.taken), {metricLabel("result", "taken")})
       .add(static_cast<double>(reloads.refused), {metricLabel("result", "refused")})
       .take();
--- a/source/common/server/node_metrics.cc
+++ b/source/common/server/node_metrics.cc
@@ -104,9 +104,8 @@
 }
 
 MetricFamily policyFamily(const std::vector<PolicyHealth>& policies) {
-  MetricFamilyBuilder family =
-      counterFamily("umberhold_policy_failures_total",
-                    "Evaluations that failed and left the last good weights in force");
+  MetricFamilyBuilder family = counterFamily(
+      "umberhold_policy_failures_total", "Evaluations that failed and kept the last good weights");
   for (const PolicyHealth& health : policies) {
     family.add(static_cast<double>(health.failures), {metricLabel("policy", health.policy)});
   }
@@ -147,7 +146,7 @@
                              "Records that could not be decoded and have no effect",
                              static_cast<double>(core.recordsRejected)));
   families.push_back(gaugeOf("umberhold_config_version",
-                             "Store version up to which every change is in force on the node",
+                             "Store version up to which the node has applied every change",
                              static_cast<double>(core.inForceVersion)));
 }
 
--- a/source/common/server/node_process.cc
+++ b/source/common/server/node_process.cc
@@ -34,7 +34,7 @@
 
 /** How often a leaving node says which shards it still holds, and of how many. */
 constexpr Duration kHeldNoteInterval = std::chrono::seconds(2);
-constexpr size_t kToldShards = 3;
+constexpr size_t kLoggedShards = 3;
 
 /** Unix milliseconds, which number the incarnations of a node. */
 uint64_t incarnationNow() {
@@ -206,8 +206,8 @@
     }
     nextHeldNote = now + kHeldNoteInterval;
     const std::vector<HeldShard> held = core.heldShards();
-    const size_t told = std::min(held.size(), kToldShards);
-    for (size_t index = 0; index < told; ++index) {
+    const size_t logged = std::min(held.size(), kLoggedShards);
+    for (size_t index = 0; index < logged; ++index) {
       const HeldShard& shard = held[index];
       LOG(INFO) << "event=leave_waits shards=" << held.size()
                 << " service=" << shard.shard.service.value << " shard=" << shard.shard.index
--- a/source/common/settings/settings.h
+++ b/source/common/settings/settings.h
@@ -33,7 +33,7 @@
   uint16_t relayPort = 7001;
   uint16_t controlPort = 7002;
   uint16_t adminPort = 7003;
-  /** Ports that other nodes are told, where something stands between; 0 for the node's own. */
+  /** Ports that other nodes send to, where something stands between; 0 for the node's own. */
   uint16_t advertisedRelayPort = 0;
   uint16_t advertisedControlPort = 0;
   std::vector<Endpoint> seeds;
--- a/source/common/shard/known_flows.h
+++ b/source/common/shard/known_flows.h
@@ -61,7 +61,7 @@
   void stop() { state_ = State::kStopped; }
   /** A flow was placed; ignored unless running. */
   void add(FlowFingerprint fingerprint);
-  /** What waits must be told at once: a host may have begun to drain. */
+  /** What waits must be sent at once: a host may have begun to drain. */
   void hurry() { hurries_ = true; }
 
   /**
@@ -78,7 +78,7 @@
   void onAck(uint32_t next);
 
   bool running() const { return state_ == State::kRunning; }
-  /** @return whether most of what was told has ended. */
+  /** @return whether most of the flows that were sent have ended. */
   bool needsRenewal(size_t livingFlows) const;
 
  private:
--- a/source/common/shard/local_shard.h
+++ b/source/common/shard/local_shard.h
@@ -58,7 +58,7 @@
   uint32_t epoch = 0;
   uint32_t flows = 0;
   bool knowsAllFlows = false;
-  /** Flows that are not in the table are listed: a new UDP flow can be told from them. */
+  /** Flows that are not in the table are listed: a new UDP flow can be distinguished from them. */
   bool knowsOldFlows = false;
   bool replicaCurrent = false;
   size_t pendingChanges = 0;
@@ -74,7 +74,7 @@
 
   FlowDecision decide(TimePoint now, const FlowPacket& packet, std::string_view bytes);
   void tick(TimePoint now);
-  /** @return since when the replica should have been told of a change; the end of time for none. */
+  /** @return since when a change waits to be sent to the replica; the end of time for none. */
   TimePoint replicationWaitsSince() const;
   /** Tells the replica what it lacks, as far as the node's budget allows. Call it after tick(), the
    * shard that waits longest first. */
@@ -184,7 +184,7 @@
   bool replicationReliable(TimePoint now) const;
   void learnAllFlows(TimePoint now);
   void streamKnownFlows(TimePoint now);
-  /** @return whether it can be told of every flow whether it existed. */
+  /** @return whether it is known of every flow whether it existed. */
   bool knowsOldFlows() const { return knowsAllFlows_ || oldFlows_; }
   std::vector<FlowFingerprint> listKnownFlows(TimePoint now) const;
   /** Flows exist that are neither in the table nor listed. */
--- a/source/common/shard/refusal_memory.h
+++ b/source/common/shard/refusal_memory.h
@@ -19,7 +19,7 @@
   static constexpr Duration kLifetime = std::chrono::seconds(120);
   static constexpr size_t kCapacity = 65536;
 
-  /** @return false where the memory is full: then the flow must not be told that it is refused. */
+  /** @return false where the memory is full: then no refusal may be sent. */
   bool remember(TimePoint now, FlowHash flow);
   bool contains(FlowHash flow) const { return flows_.contains(flow); }
   /** Forgets what is older than kLifetime. */
--- a/source/common/spread/digest_exchange.h
+++ b/source/common/spread/digest_exchange.h
@@ -31,7 +31,7 @@
 
   void begin(const Endpoint& to, const CompletenessClaim& claim, bool wantsReply);
   /** Goes one level deeper where the digests differ; equal totals are left to the caller.
-   * @param byteLimit for the content of the buckets that the peer is told of; one bucket at least.
+   * @param byteLimit for the content of the buckets that the peer gets; one bucket at least.
    */
   DigestOutcome onRequest(const Endpoint& from, const DigestRequest& request,
                           const CompletenessClaim& own, bool caughtUp, size_t byteLimit);
--- a/source/common/spread/record_store.h
+++ b/source/common/spread/record_store.h
@@ -49,7 +49,8 @@
 
   void addObserver(RecordObserver* observer) { observers_.push_back(observer); }
 
-  /** Takes a record; @return whether it was newer than what was known, and the observers were told.
+  /** Takes a record; @return whether it was newer than what was known, and the observers were
+   * called.
    */
   bool apply(const ConfigRecord& record);
 
--- a/source/standins/caller/caller_report.h
+++ b/source/standins/caller/caller_report.h
@@ -74,7 +74,7 @@
   std::map<std::string, uint64_t> openFlowsByHost;
   std::vector<BrokenFlow> broken;
   std::vector<CutRequest> cut;
-  /** Requests of which the caller was told that they did not and will not run. */
+  /** Requests whose answer said that they did not and will not run. */
   std::vector<uint64_t> refusedIds;
   /** Requests that must not run twice. */
   std::vector<uint64_t> singleRunIds;
--- a/source/standins/flows/flow_oracle.h
+++ b/source/standins/flows/flow_oracle.h
@@ -22,9 +22,9 @@
     kSecondHost,
     /** An established flow was answered by a reset while its host ran. */
     kReset,
-    /** A flow that was told to be refused was forwarded. */
+    /** A flow whose refusal was sent was forwarded. */
     kRefusedThenForwarded,
-    /** A flow that had been forwarded was told to be refused. */
+    /** A refusal was sent for a flow that had been forwarded. */
     kForwardedThenRefused,
     /** A new flow went to a host that has been draining for too long. */
     kNewOnDraining,
--- a/source/standins/flows/simulated_region_membership.cc
+++ b/source/standins/flows/simulated_region_membership.cc
@@ -32,7 +32,7 @@
 
 void SimulatedRegion::announce(const Member& member, Duration shortest, Duration longest) {
   const uint32_t about = member.id.value;
-  // At once: what is next told of this node, even its death, must be newer than this.
+  // At once: what is next said of this node, even its death, must be newer than this.
   nodes_.at(about)->onMember(member);
   for (const auto& [id, node] : nodes_) {
     if (id != about && connected(id, about)) {
--- a/source/standins/oracle/oracle.h
+++ b/source/standins/oracle/oracle.h
@@ -20,14 +20,14 @@
 
 /**
  * A host that stopped without a warning and lost its flows. It excuses the flows that it held then,
- * and no others; a host that had been told to drain before excuses none.
+ * and no others; a host whose drain had been asked for before excuses none.
  */
 struct HostStop {
   UnixMillis at = 0;
   std::string host;
 };
 
-/** When an accepted change told a host to drain. */
+/** When an accepted change asked for a host's drain. */
 struct DrainEvent {
   UnixMillis at = 0;
   std::string host;
@@ -77,7 +77,7 @@
   uint64_t incompleteAnswers = 0;
   /** Those of them that no unplanned event explains. */
   uint64_t incompleteAnswersPlanned = 0;
-  /** Requests that ran although the caller was told that they did not. */
+  /** Requests that ran although their answer said that they did not. */
   uint64_t refusedButRun = 0;
   /** Second runs of requests that must not run twice. */
   uint64_t duplicateRuns = 0;
--- a/source/standins/platform/fault_switches.h
+++ b/source/standins/platform/fault_switches.h
@@ -1,4 +1,4 @@
-/** @file What the stand-in store is told to do wrong. */
+/** @file What the stand-in store does wrong on request. */
 #pragma once
 
 #include <cstdint>
--- a/source/standins/proxy/fault_proxy.h
+++ b/source/standins/proxy/fault_proxy.h
@@ -2,7 +2,7 @@
  * @file A UDP proxy that stands in front of nodes and injects faults.
  *
  * Each node has an address of its own and tells the others front ports in place of its own ports;
- * the proxy listens on these and passes datagrams on. The sender is told by its source address. A
+ * the proxy listens on these and passes datagrams on. The source address names the sender. A
  * receiver may answer the sender's front port, or the source that it sees: both come through the
  * proxy.
  */
--- a/test/bench/experiment/process_group_test.cc
+++ b/test/bench/experiment/process_group_test.cc
@@ -1,4 +1,4 @@
-/** @file What is told of a process that has just been started. */
+/** @file What is known of a process that has just been started. */
 #include "bench/support/process_group.h"
 
 #include <fcntl.h>
--- a/test/common/admin/admin_api_test.cc
+++ b/test/common/admin/admin_api_test.cc
@@ -247,8 +247,7 @@
 TEST(AdminApi, TellsOnHowManyNodesAVersionIsInForce) {
   node.coverageNow.nodes = 6;
   node.coverageNow.nodesAtVersion = 5;
-  expect(200, "in force on 5 of 6",
-         api.handle(request("GET", "/v1/coverage", {{"version", "12"}})));
+  expect(200, "applied on 5 of 6", api.handle(request("GET", "/v1/coverage", {{"version", "12"}})));
   expect(400, "bad_request", api.handle(request("GET", "/v1/coverage")));
   expect(200, "\"readiness\":\"ready\"", api.handle(request("GET", "/v1/status")));
 }
--- a/test/common/ctl/command_runner_test.cc
+++ b/test/common/ctl/command_runner_test.cc
@@ -1,4 +1,4 @@
-/** @file Commands against the real admin API in process, over a transport that fails as told. */
+/** @file Commands against the real admin API in process, over a transport that fails on request. */
 #include "common/ctl/command_runner.h"
 
 #include <Poco/TemporaryFile.h>
@@ -214,11 +214,11 @@
   waiting.wait = true;
   waiting.waitSeconds = 5;
   expect(ExitStatus::kOk, waiting);
-  STRCMP_CONTAINS("in force on 6 of 6", out.str().c_str());
+  STRCMP_CONTAINS("applied on 6 of 6", out.str().c_str());
 
   node.coverageNow.nodesAtVersion = 4;
   expect(ExitStatus::kWaitTimedOut, waiting);
-  STRCMP_CONTAINS("in force on 4 of 6", errors.str().c_str());
+  STRCMP_CONTAINS("applied on 4 of 6", errors.str().c_str());
 }
 
 TEST(CommandRunner, DrainsAndShowsIt) {
--- a/test/common/node/cluster_fuzzer.h
+++ b/test/common/node/cluster_fuzzer.h
@@ -105,7 +105,7 @@
   RandomSource random_;
   ConfigurationHistory history_;
   std::map<std::string, Service> originals_;
-  /** Nodes that were told to leave; true: to be started again afterwards. */
+  /** Nodes that were asked to leave; true: to be started again afterwards. */
   std::map<uint32_t, bool> leavers_;
   std::map<uint32_t, TimePoint> pausedUntil_;
   std::map<Endpoint, TimePoint> deadlines_;
--- a/test/common/server/http_test.cc
+++ b/test/common/server/http_test.cc
@@ -73,7 +73,7 @@
   std::unique_ptr<HttpServer> server = std::move(valueOf(HttpServer::start(
       kAnyPort, {[this] { return readiness; }, [] { return "metric 1\n"; }, &admin})));
 
-  /** Probes the server once and returns what the loop was told. */
+  /** Probes the server once and returns what the loop got. */
   ProbeResult probeOnce() {
     LoopMailbox mailbox;
     EventLoop loop(mailbox);
--- a/test/common/shard/udp_drain_test.cc
+++ b/test/common/shard/udp_drain_test.cc
@@ -83,7 +83,7 @@
 }
 
 /** Of each seed alone fewer than one flow in a thousand may break. Owners that hear of the drain
- * only after the death leave what they had told before. */
+ * only after the death leave what they had sent before. */
 TEST(UdpDrain, OwnerThatDiesJustAfterTheDrainBeganLeavesNoGap) {
   for (uint64_t seed = 1; seed <= 24; ++seed) {
     RegionScenario scenario(seeded(seed), quietFlows());
--- a/test/common/shard/zone_cut_test.cc
+++ b/test/common/shard/zone_cut_test.cc
@@ -80,7 +80,7 @@
   }
 }
 
-/** Found by fuzzing: a joiner is told of no dead member, so it took the silent zones for none. */
+/** Found by fuzzing: a joiner hears of no dead member, so it took the silent zones for none. */
 TEST(ZoneCut, JoinersInACutOffZoneDoNotStartAShardAnew) {
   constexpr uint32_t kJoiners[] = {9, 12, 15, 18};
   CutScenario scenario(7);
--- a/test/platform/store/edge_node_test.cc
+++ b/test/platform/store/edge_node_test.cc
@@ -79,7 +79,7 @@
   std::unique_ptr<TokenNode> node;
   std::thread thread;
   Endpoint readiness;
-  /** What the node reads when it is told to reload. */
+  /** What the node reads when it is asked to reload. */
   std::atomic<bool> settingsAreFaulty{false};
 
   TokenNodeSettings settingsOf() const {
--- a/test/soak/world/deployment_plan.h
+++ b/test/soak/world/deployment_plan.h
@@ -27,7 +27,7 @@
   Duration change = std::chrono::seconds(3);
   Duration drain = std::chrono::seconds(3);
   Duration contact = std::chrono::seconds(4);
-  /** After a node told of a version, older ones may still be seen for so long. */
+  /** After a node reported a version, older ones may still be seen for so long. */
   Duration back = std::chrono::milliseconds(250);
   Duration recovery = std::chrono::seconds(12);
   Duration reuse = std::chrono::seconds(2);
--- a/test/soak/world/soak_caller.cc
+++ b/test/soak/world/soak_caller.cc
@@ -37,7 +37,7 @@
 void SoakCaller::tryOnce(TimePoint now) {
   ++counts_.tries;
   ++wanted_->tries;
-  // Each try is distinguished, so that a run can be told from another.
+  // Each try is distinguished, so that runs can be distinguished.
   wanted_->request.id = (uint64_t{number_} + 1) * kRequestsOfCaller + ++nextRequest_;
   const bool usable = phase_ == Phase::kOpen && !habit_.freshFlows && now - openedAt_ < kFlowLife;
   if (usable) {
--- a/test/standins/fault_proxy_test.cc
+++ b/test/standins/fault_proxy_test.cc
@@ -1,4 +1,4 @@
-/** @file The proxy drops, repeats, cuts and delays as it is told, in both directions. */
+/** @file The proxy drops, repeats, cuts and delays as it is set, in both directions. */
 #include "standins/proxy/fault_proxy.h"
 
 #include <CppUTest/TestHarness.h>
