Decide whether an opening whose part of a split has no room goes to another

Cause: the hosts of one part of a split refuse openings while another part's are idle. SplitOverflow is the decision alone, without I/O: by the room of this moment, with the share of each part bounded in every stretch of flows by a counter that saves nothing up in calm time. Tests: 12 examples, two properties.

--- /dev/null
+++ b/test/common/overflow/split_overflow_property.cc
@@ -0,0 +1,163 @@
+/** @file However shortages come and go, no part of a split gets more beyond its weight than the
+ * bound says. */
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "common/base/random.h"
+#include "common/overflow/split_overflow.h"
+
+#include "test/support/without_leak_detection.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+constexpr double kRounding = 1e-6;
+
+/** Flows of one split at one node; room comes and goes at random. */
+class Split {
+ public:
+  Split(uint64_t seed, double mostPart)
+      : mostPart_(mostPart),
+        random_(seed),
+        overflow_({OverflowMode::kByRoom, mostPart}, random_),
+        beyond_(2 + random_.below(3)) {
+    double total = 0.0;
+    for (size_t index = 0; index < beyond_.size(); ++index) {
+      weights_.push_back(0.02 + random_.unit());
+      total += weights_.back();
+    }
+    for (double& weight : weights_) {
+      weight /= total;
+    }
+  }
+
+  void step() {
+    if (random_.below(20) == 0) {
+      isFull_.assign(weights_.size(), false);
+      for (size_t index = 0; index < isFull_.size(); ++index) {
+        isFull_[index] = random_.below(2) == 0;
+      }
+    }
+    const size_t due = turn();
+    if (isFull_.empty() || !isFull_[due]) {
+      return;
+    }
+    const auto chosen = overflow_.choose(parts(), due);
+    if (chosen) {
+      RC_ASSERT(*chosen != due);
+      RC_ASSERT(!isFull_[*chosen]);
+      ++beyond_[*chosen];
+    }
+  }
+  size_t partCount() const { return weights_.size(); }
+  double weightOf(size_t part) const { return weights_[part]; }
+  /** @return flows that were due to other parts and came to this one. */
+  uint64_t beyondOf(size_t part) const { return beyond_[part]; }
+  /** @return flows that were due to other parts. */
+  uint64_t othersOf(size_t part) const { return flows_ - due_[part]; }
+  double mostOf(size_t part) const { return std::min(mostPart_, weights_[part]); }
+
+ private:
+  /** As GroupShares: the part that is owed most. */
+  size_t turn() {
+    owed_.resize(weights_.size());
+    due_.resize(weights_.size());
+    for (size_t index = 0; index < owed_.size(); ++index) {
+      owed_[index] += weights_[index];
+    }
+    const auto most = std::max_element(owed_.begin(), owed_.end());
+    *most -= 1.0;
+    ++flows_;
+    const auto due = static_cast<size_t>(most - owed_.begin());
+    ++due_[due];
+    return due;
+  }
+  std::vector<SplitPart> parts() const {
+    std::vector<SplitPart> parts;
+    for (size_t index = 0; index < weights_.size(); ++index) {
+      const double openings = isFull_[index] ? 10.0 : 0.0;
+      parts.push_back({weights_[index], {true, openings, 10.0, 0.0, 2.0}});
+    }
+    return parts;
+  }
+
+  const double mostPart_;
+  RandomSource random_;
+  SplitOverflow overflow_;
+  std::vector<double> weights_;
+  std::vector<double> owed_;
+  std::vector<uint64_t> due_;
+  std::vector<bool> isFull_;
+  std::vector<uint64_t> beyond_;
+  uint64_t flows_ = 0;
+};
+
+}  // namespace
+
+TEST_GROUP_BASE(SplitOverflowProperty, test::WithoutLeakDetection){};
+
+/** In every stretch of flows, not only from the start: stretches begin at every hundredth flow. */
+TEST(SplitOverflowProperty, APartGetsNoMoreBeyondItsWeightThanTheBound) {
+  const bool held = rc::check("what overflows into a part is bounded in every stretch", [] {
+    const double mostPart = *rc::gen::inRange(0, 101) / 100.0;
+    Split split(*rc::gen::arbitrary<uint64_t>(), mostPart);
+    struct Mark {
+      std::vector<uint64_t> beyond;
+      std::vector<uint64_t> others;
+    };
+    std::vector<Mark> marks;
+    for (int flow = 0; flow < 1000; ++flow) {
+      split.step();
+      if (flow % 100 == 0) {
+        Mark& mark = marks.emplace_back();
+        for (size_t part = 0; part < split.partCount(); ++part) {
+          mark.beyond.push_back(split.beyondOf(part));
+          mark.others.push_back(split.othersOf(part));
+        }
+      }
+    }
+    for (const Mark& mark : marks) {
+      for (size_t part = 0; part < split.partCount(); ++part) {
+        const auto beyond = static_cast<double>(split.beyondOf(part) - mark.beyond[part]);
+        const auto others = static_cast<double>(split.othersOf(part) - mark.others[part]);
+        // Of the flows due to others, as many as make the bound of all; one more by its start.
+        const double most = others * split.mostOf(part) / (1.0 - split.weightOf(part)) + 1.0;
+        RC_ASSERT(beyond <= most + kRounding);
+      }
+    }
+  });
+  CHECK_TRUE(held);
+}
+
+/** A shortage that begins at all nodes at once, with the fewest flows that are judged. */
+TEST(SplitOverflowProperty, ManyNodesTogetherKeepToTheLimitOfSharesFromTheFirstFlow) {
+  constexpr size_t kNodes = 59;
+  constexpr size_t kFlows = 200;
+  constexpr double kMostOff = 0.2;
+  const PoolUse full{true, 10.0, 10.0, 0.0, 2.0};
+  const PoolUse spare{true, 0.0, 10.0, 0.0, 2.0};
+  const std::vector<SplitPart> parts = {{0.5, full}, {0.5, spare}};
+  size_t beyondLimit = 0;
+  constexpr size_t kRounds = 1000;
+  RandomSource random{7};
+  for (size_t round = 0; round < kRounds; ++round) {
+    std::vector<SplitOverflow> nodes;
+    for (size_t node = 0; node < kNodes; ++node) {
+      nodes.emplace_back(OverflowOptions{OverflowMode::kByRoom}, random);
+    }
+    size_t overflowed = 0;
+    for (size_t due = 0; due < kFlows / 2; ++due) {
+      overflowed += nodes[random.below(kNodes)].choose(parts, 0) ? 1 : 0;
+    }
+    beyondLimit += static_cast<double>(overflowed) > kMostOff * kFlows ? 1 : 0;
+  }
+  // 30 of 200 are meant; 41 and more are beyond the limit.
+  CHECK_TRUE(beyondLimit <= kRounds / 100);
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/test/common/overflow/split_overflow_test.cc
@@ -0,0 +1,112 @@
+/** @file Which openings leave the part of a split that has no room, and where they go. */
+#include "common/overflow/split_overflow.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace umberhold;
+
+namespace {
+
+/** Half of its limit is left, and more. */
+const PoolUse kSpare{true, 1.0, 10.0, 0.0, 2.0};
+const PoolUse kFull{true, 10.0, 10.0, 2.0, 2.0};
+
+}  // namespace
+
+TEST_GROUP(SplitOverflow) {
+  RandomSource random{7};
+
+  SplitOverflow unbounded() { return {{OverflowMode::kByRoom, 1.0}, random}; }
+  /** @return overflows of so many openings that arrive while the first of the parts is full. */
+  int overflows(SplitOverflow & overflow, const std::vector<SplitPart>& parts, int openings) {
+    int count = 0;
+    for (int opening = 0; opening < openings; ++opening) {
+      count += overflow.choose(parts, 0) ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+TEST(SplitOverflow, AnOpeningGoesToThePartThatHasRoom) {
+  SplitOverflow overflow = unbounded();
+  const auto chosen = overflow.choose({{0.5, kFull}, {0.5, kSpare}}, 0);
+  CHECK_TRUE(chosen.has_value());
+  LONGS_EQUAL(1, *chosen);
+}
+
+TEST(SplitOverflow, OfTwoPartsTheLessUsedOneTakesIt) {
+  SplitOverflow overflow = unbounded();
+  PoolUse idle = kSpare;
+  idle.openings = 0.0;
+  const std::vector<SplitPart> parts = {{0.2, kFull}, {0.4, kSpare}, {0.4, idle}};
+  for (int opening = 0; opening < 100; ++opening) {
+    LONGS_EQUAL(2, overflow.choose(parts, 0).value_or(2));
+  }
+}
+
+TEST(SplitOverflow, NothingGoesWhereTheOthersHaveNoRoom) {
+  SplitOverflow overflow = unbounded();
+  LONGS_EQUAL(0, overflows(overflow, {{0.5, kFull}, {0.5, kFull}}, 100));
+  LONGS_EQUAL(0, overflows(overflow, {{1.0, kFull}}, 100));
+}
+
+TEST(SplitOverflow, APartWithoutWeightTakesNothing) {
+  SplitOverflow overflow = unbounded();
+  LONGS_EQUAL(0, overflows(overflow, {{1.0, kFull}, {0.0, kSpare}}, 100));
+}
+
+TEST(SplitOverflow, APoolOfUnknownRoomTakesNothing) {
+  SplitOverflow overflow = unbounded();
+  LONGS_EQUAL(0, overflows(overflow, {{0.5, kFull}, {0.5, PoolUse{}}}, 100));
+}
+
+TEST(SplitOverflow, HalfOfTheOpeningsAreLeftToThePoolsOwnCallers) {
+  PoolUse use = kSpare;
+  use.openings = 4.0;
+  CHECK_TRUE(SplitOverflow::hasSpareRoom(use));
+  use.openings = 5.0;
+  CHECK_FALSE(SplitOverflow::hasSpareRoom(use));
+}
+
+TEST(SplitOverflow, AnIdlePoolOfTheLeastLimitHasRoom) {
+  CHECK_TRUE(SplitOverflow::hasSpareRoom({true, 0.0, 2.0, 0.0, 0.1}));
+  CHECK_FALSE(SplitOverflow::hasSpareRoom({true, 1.0, 2.0, 0.0, 0.1}));
+}
+
+TEST(SplitOverflow, HostsThatAreBusyWithOpenFlowsHaveNoRoom) {
+  PoolUse use = kSpare;
+  use.requests = 1.6;
+  CHECK_TRUE(SplitOverflow::hasSpareRoom(use));
+  use.requests = 1.7;
+  CHECK_FALSE(SplitOverflow::hasSpareRoom(use));
+}
+
+TEST(SplitOverflow, ThePartGetsNoMoreThanTheBoundBeyondItsWeight) {
+  SplitOverflow overflow{{OverflowMode::kByRoom, 0.15}, random};
+  // Of 1000 flows 500 are due to the part without room; 150 are 0.15 of all.
+  const int count = overflows(overflow, {{0.5, kFull}, {0.5, kSpare}}, 500);
+  CHECK_TRUE(count >= 149 && count <= 151);
+}
+
+TEST(SplitOverflow, APartOfSmallWeightIsAtMostDoubled) {
+  SplitOverflow overflow{{OverflowMode::kByRoom, 0.15}, random};
+  const int count = overflows(overflow, {{0.99, kFull}, {0.01, kSpare}}, 990);
+  CHECK_TRUE(count >= 9 && count <= 11);
+}
+
+TEST(SplitOverflow, EachModeAppliesToItsServices) {
+  const OverflowOptions off{};
+  CHECK_FALSE(off.appliesTo(true));
+  const OverflowOptions repeatable{OverflowMode::kRepeatable};
+  CHECK_TRUE(repeatable.appliesTo(true));
+  CHECK_FALSE(repeatable.appliesTo(false));
+  CHECK_TRUE(OverflowOptions{OverflowMode::kByRoom}.appliesTo(false));
+}
+
+TEST(SplitOverflow, ModesHaveNames) {
+  for (const OverflowMode mode :
+       {OverflowMode::kOff, OverflowMode::kByRoom, OverflowMode::kRepeatable}) {
+    CHECK_TRUE(parseOverflowMode(toString(mode)) == mode);
+  }
+  CHECK_FALSE(parseOverflowMode("always").has_value());
+}
