Let openings overflow into another part of their split, and a part without room hold up no other

Cause, two: the hosts of one part of a split refuse openings while another part's are idle; and while an opening waited for a part, that part stayed due, so that every further opening of the service waited for it too, and a copy of one that waits could be placed elsewhere beside it.

Change: an opening takes its turn when it begins to wait and is placed at the pool it waited for (with any value of the setting); where overflow is on, it goes at once to another part of the split that has room, within the bound of SplitOverflow. Settings overflow and overflow_part, the metric umberhold_overflowed_flows_total{from,to}, overflow_from in flow_placed.

--- a/source/common/admission/opening_queue.cc
+++ b/source/common/admission/opening_queue.cc
@@ -35,7 +35,7 @@
                                  FlowHash flow) {
   const auto turn = turns_.find(flow);
   if (turn != turns_.end()) {
-    const OpeningTurn given = turn->second;
+    const OpeningTurn given = turn->second.turn;
     turns_.erase(turn);
     return given;
   }
@@ -49,6 +49,21 @@
   return isFull ? OpeningTurn::kWait : OpeningTurn::kPlace;
 }
 
+const std::string* OpeningQueue::poolOf(FlowHash flow) const {
+  const auto waiting = waiting_.find(flow);
+  if (waiting != waiting_.end()) {
+    return &waiting->second.pool;
+  }
+  const auto released = turns_.find(flow);
+  return released == turns_.end() ? nullptr : &released->second.pool;
+}
+
+size_t OpeningQueue::openingsOf(TimePoint now, const std::string& pool) {
+  endOverdue(now);
+  const auto known = pools_.find(pool);
+  return known == pools_.end() ? 0 : known->second.underWay + known->second.queue.size();
+}
+
 Duration OpeningQueue::longestWait(Duration requestTimeout) const {
   if (requestTimeout == Duration{0}) {
     return kLongestWait;
@@ -125,7 +140,7 @@
 }
 
 std::string OpeningQueue::release(WaitingFlows::iterator entry, OpeningTurn turn) {
-  turns_[entry->first] = turn;
+  turns_[entry->first] = {turn, entry->second.pool};
   pools_[entry->second.pool].queue.erase(entry->second.rank);
   std::string bytes = std::move(entry->second.bytes);
   waiting_.erase(entry);
--- a/source/common/admission/opening_queue.h
+++ b/source/common/admission/opening_queue.h
@@ -101,6 +101,12 @@
    * waits. */
   std::optional<TimePoint> nextDue() const;
   size_t waitingCount() const { return waiting_.size(); }
+  bool isWaiting(FlowHash flow) const { return waiting_.contains(flow); }
+  /** @return the pool that an opening waits for, or waited for until take() gave it; nullptr for
+   * others. Valid until the next call. */
+  const std::string* poolOf(FlowHash flow) const;
+  /** @return openings under way at hosts of the pool, and those that wait for them. */
+  size_t openingsOf(TimePoint now, const std::string& pool);
 
   /** Callers send an opening again after 200 and 600 ms and give it up 800 ms later: one that goes
    * on after this time is still answered. */
@@ -150,8 +156,12 @@
   /** Flows that wait, or have waited, by the time at which they wait no longer. */
   std::multimap<TimePoint, FlowHash> refusedAt_;
   uint64_t arrivals_ = 0;
-  /** Of the openings that take() gave last. */
-  std::unordered_map<FlowHash, OpeningTurn> turns_;
+  struct Released {
+    OpeningTurn turn = OpeningTurn::kPlace;
+    std::string pool;
+  };
+  /** The openings that take() gave last. */
+  std::unordered_map<FlowHash, Released> turns_;
 };
 
 }  // namespace umberhold
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -52,6 +52,9 @@
  */
 struct PlacementEvidence {
   std::string_view service;
+  /** The pool that the flow was due to, where another one of its split took it for lack of room;
+   * or empty. */
+  std::string_view overflowFrom;
   /** The host is in this node's zone. */
   bool ownZone = false;
   /** This flow was to leave the node's zone, because the zone has few of the hosts or they answer
--- a/source/common/server/flow_log.cc
+++ b/source/common/server/flow_log.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr const char* kNone = "-";
+/** A split of eight parts has 56; each costs some 200 bytes and a line of metrics. */
+constexpr size_t kMostOverflowPairs = 64;
+/** Stands for the pools of further pairs. */
+constexpr const char* kOtherPools = "other";
 
 std::string_view toString(PacketPhase phase) {
   switch (phase) {
@@ -74,7 +78,8 @@
              << " zone_score=" << evidence.zoneScore << " load=" << std::fixed
              << std::setprecision(1) << evidence.load << " weight=" << evidence.weight
              << " candidates=" << evidence.candidates << " catalogue=" << evidence.poolVersion
-             << " age_ms=" << millisecondsOf(text.now - evidence.poolAppliedAt);
+             << " age_ms=" << millisecondsOf(text.now - evidence.poolAppliedAt)
+             << (evidence.overflowFrom.empty() ? "" : " overflow_from=") << evidence.overflowFrom;
 }
 
 }  // namespace
@@ -139,6 +144,22 @@
   }
 }
 
+void FlowLog::countOverflow(const ForwardToHost& decision) {
+  const std::string_view from = decision.placement->overflowFrom;
+  if (from.empty()) {
+    return;
+  }
+  const OverflowPair pair{std::string(from), std::string(decision.label.pool)};
+  const auto found = counters_.overflowed.find(pair);
+  if (found != counters_.overflowed.end()) {
+    ++found->second;
+  } else if (counters_.overflowed.size() < kMostOverflowPairs) {
+    counters_.overflowed.emplace(pair, 1);
+  } else {
+    ++counters_.overflowed[{kOtherPools, kOtherPools}];
+  }
+}
+
 void FlowLog::logPlacement(const Seen& seen, const ForwardToHost& decision) {
   const PlacementEvidence& evidence = *decision.placement;
   const auto found = counters_.openedByPool.find(decision.label.pool);
@@ -146,6 +167,7 @@
                             ? found->second
                             : counters_.openedByPool[std::string(decision.label.pool)];
   ++(evidence.ownZone ? opened.ownZone : opened.otherZone);
+  countOverflow(decision);
   const bool repeated = !evidence.avoidedHost.empty();
   counters_.repeatedOpenings += repeated ? 1 : 0;
   if (!admit(seen.now, repeated ? LineKind::kFailure : LineKind::kPlacement)) {
--- a/source/common/server/flow_log.h
+++ b/source/common/server/flow_log.h
@@ -26,9 +26,19 @@
   uint64_t otherZone = 0;
 };
 
+/** A pool without room, and the one that took flows instead. */
+struct OverflowPair {
+  std::string from;
+  std::string to;
+
+  auto operator<=>(const OverflowPair&) const = default;
+};
+
 /** What the log saw, whether it wrote a line or not. */
 struct FlowLogCounters {
   std::map<std::string, OpenedFlows, std::less<>> openedByPool;
+  /** New flows that another part of their split took; beyond kMostOverflowPairs under "other". */
+  std::map<OverflowPair, uint64_t> overflowed;
   /** Openings whose earlier copy a host had left unanswered. */
   uint64_t repeatedOpenings = 0;
   uint64_t requests = 0;
@@ -78,6 +88,7 @@
   void log(const Seen& seen, const DropPacket& decision);
   void log(const Seen& seen, const RelayToNode& decision);
   void log(const Seen& seen, const HoldPacket& decision);
+  void countOverflow(const ForwardToHost& decision);
   void logPlacement(const Seen& seen, const ForwardToHost& decision);
   void logRequest(const Seen& seen, const ForwardToHost& decision);
   void logCallerReset(const Seen& seen, const ForwardToHost& decision);
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -59,7 +59,7 @@
 
 TokenOptions optionsOf(const TokenNodeSettings& settings) {
   return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds), settings.placement,
-          settings.coldHosts, settings.openings};
+          settings.coldHosts, settings.openings, settings.overflow};
 }
 
 }  // namespace
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -29,6 +29,15 @@
                {metricLabel("pool", pool), metricLabel("zone", "other")});
   }
   families.push_back(opened.take());
+  MetricFamilyBuilder overflowed =
+      counterFamily("umberhold_overflowed_flows_total",
+                    "New flows that another part of their split took for lack of room, by the pool "
+                    "that was due and the one that took them");
+  for (const auto& [pair, count] : flows.overflowed) {
+    overflowed.add(static_cast<double>(count),
+                   {metricLabel("from", pair.from), metricLabel("to", pair.to)});
+  }
+  families.push_back(overflowed.take());
   MetricFamilyBuilder refused =
       counterFamily("umberhold_refused_flows_total", "Packets answered with a reset, by reason");
   forEachValue<RefusalReason>([&](RefusalReason reason, size_t index) {
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -17,6 +17,8 @@
 constexpr int64_t kLongestBoundMilliseconds = 60000;
 /** Of the time after which callers give up. */
 constexpr double kLongestWaitPart = 1.0;
+/** Of the new flows of a split. */
+constexpr double kWholeSplit = 1.0;
 /** Beyond every ratio of answers' times. */
 constexpr double kHighestRatio = 1000.0;
 
@@ -97,6 +99,20 @@
       value = *found;
     }
   }
+  void overflowMode(const char* key, OverflowMode& value) {
+    const toml::node* node = find(key, false);
+    if (node == nullptr) {
+      return;
+    }
+    const auto words = node->value_exact<std::string>();
+    const auto found = words ? parseOverflowMode(*words) : std::nullopt;
+    if (!found) {
+      fail(words ? SettingsErrorCode::kOutOfRange : SettingsErrorCode::kWrongType, key,
+           lineOf(*node), "\"off\", \"by_room\" or \"repeatable\"");
+    } else {
+      value = *found;
+    }
+  }
   /** @param mayBeZero whether 0 is a value of its own, or no sensible one. */
   void fraction(const char* key, double& value, double highest, bool mayBeZero = false) {
     const toml::node* node = find(key, false);
@@ -183,6 +199,8 @@
     reader.fraction("full_zone_load", placement.fullZoneLoad, kHighestRatio);
     reader.fraction("openings_per_slot", settings.openings.openingsPerSlot, kHighestRatio, true);
     reader.fraction("opening_wait_part", settings.openings.longestWaitPart, kLongestWaitPart, true);
+    reader.overflowMode("overflow", settings.overflow.mode);
+    reader.fraction("overflow_part", settings.overflow.mostPart, kWholeSplit, true);
     reader.fraction("cold_rate_factor", settings.coldHosts.rateFactor, kHighestRatio, true);
     reader.fraction("cold_rate_allowance", settings.coldHosts.rateAllowance, kHighestRatio, true);
     reader.refuseOtherKeys();
@@ -241,6 +259,13 @@
   };
   compareOpenings("openings_per_slot", &OpeningLimits::openingsPerSlot);
   compareOpenings("opening_wait_part", &OpeningLimits::longestWaitPart);
+  const auto compareOverflow = [&](const char* key, auto member) {
+    if (before.overflow.*member != after.overflow.*member) {
+      changes.push_back({key, false});
+    }
+  };
+  compareOverflow("overflow", &OverflowOptions::mode);
+  compareOverflow("overflow_part", &OverflowOptions::mostPart);
   const auto compareCold = [&](const char* key, auto member) {
     if (before.coldHosts.*member != after.coldHosts.*member) {
       changes.push_back({key, false});
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -9,6 +9,7 @@
 #include "common/admission/opening_queue.h"
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
+#include "common/overflow/overflow_options.h"
 #include "common/settings/settings.h"
 #include "common/token/cold_hosts.h"
 #include "common/token/placement_options.h"
@@ -61,6 +62,8 @@
   ColdHostOptions coldHosts{};
   /** When openings of flows wait in the node. */
   OpeningLimits openings{};
+  /** When a flow may leave the part of its split that it is due to. */
+  OverflowOptions overflow{};
 };
 
 /** A key whose value differs between two settings. */
--- a/source/common/token/group_shares.cc
+++ b/source/common/token/group_shares.cc
@@ -30,6 +30,15 @@
   return pool;
 }
 
+std::optional<size_t> GroupShares::indexOf(const std::string& pool) const {
+  for (size_t index = 0; index < pools_.size(); ++index) {
+    if (pools_[index] == pool && groups_[index].part > 0.0) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
 std::vector<GroupShares::Turn> GroupShares::begin() {
   std::vector<Turn> turns;
   for (size_t index = 0; index < groups_.size(); ++index) {
--- a/source/common/token/group_shares.h
+++ b/source/common/token/group_shares.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,9 +30,15 @@
   const std::string* next() const;
   /** A new flow. @return the groups that have a share, in the order of their turn. */
   std::vector<Turn> begin();
+  /** @return the pool's place in pools(), if it has a share; none otherwise. */
+  std::optional<size_t> indexOf(const std::string& pool) const;
+  /** A new flow is left to the group whose turn it is, whether or not it gets a host. */
+  void takeTurn() { onPlaced(begin().front()); }
   /** The flow went to a group. */
   void onPlaced(const Turn& turn) { groups_.at(turn.index).owed -= 1.0; }
   const std::vector<std::string>& pools() const { return pools_; }
+  /** @return part of the new flows of the group at that place of pools(), 0 to 1. */
+  double partOf(size_t index) const { return groups_.at(index).part; }
 
  private:
   struct Group {
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -39,6 +39,7 @@
     : random_(random),
       zone_(std::move(options.zone)),
       coldHosts_(options.coldHosts),
+      overflow_(options.overflow),
       hosts_(options.flowLife),
       placement_(zone_, options.placement, random),
       queue_(options.openings),
@@ -124,6 +125,7 @@
   entry.priority = service.priority;
   entry.requestTimeout = std::chrono::milliseconds(service.requestTimeoutMilliseconds);
   entry.groups = GroupShares(service.groups, random_);
+  entry.overflow = SplitOverflow(overflow_, random_);
   listeners_[entry.listen] = id;
 }
 
@@ -153,15 +155,16 @@
   deadHostFlows_.note(now, packet);
   const uint32_t avoided = noteRepeat(now, packet);
   // A copy of an opening that was placed seeks another host: it has waited enough.
-  const OpeningTurn turn =
-      avoided == 0 ? queue(now, service->second, packet, bytes) : OpeningTurn::kPlace;
-  if (turn == OpeningTurn::kWait) {
+  const QueuedOpening queued =
+      avoided == 0 ? queue(now, service->second, packet, bytes) : QueuedOpening{};
+  if (queued.turn == OpeningTurn::kWait) {
     return HoldPacket{HoldReason::kHostsBusy};
   }
-  if (turn == OpeningTurn::kRefuse) {
+  if (queued.turn == OpeningTurn::kRefuse) {
     return RefuseFlow{RefusalReason::kHostsBusy};
   }
-  TokenHost* host = place(now, service->second, avoided);
+  TokenHost* host = queued.pool.empty() ? place(now, service->second, avoided)
+                                        : placeAt(now, service->second, queued);
   if (host == nullptr) {
     return awaitsPool(service->second) ? FlowDecision(DropPacket{DropReason::kNoHost})
                                        : FlowDecision(RefuseFlow{});
@@ -175,23 +178,78 @@
   return decision;
 }
 
-OpeningTurn TokenDirector::queue(TimePoint now, const ServiceEntry& service,
-                                 const FlowPacket& packet, std::string_view bytes) {
-  const std::string* name = service.groups.next();
-  const TokenPool* pool = name == nullptr ? nullptr : hosts_.findPool(*name);
-  if (pool == nullptr || queue_.isCalm(now, *name)) {
-    return OpeningTurn::kPlace;
+TokenDirector::QueuedOpening TokenDirector::queue(TimePoint now, ServiceEntry& service,
+                                                  const FlowPacket& packet,
+                                                  std::string_view bytes) {
+  const std::string* waited = waitedFor(service, packet);
+  const std::string* due = waited == nullptr ? service.groups.next() : waited;
+  const TokenPool* pool = due == nullptr ? nullptr : hosts_.findPool(*due);
+  if (pool == nullptr) {
+    return {};
+  }
+  const QueuedOpening placed{OpeningTurn::kPlace, waited == nullptr ? std::string{} : *waited, {}};
+  if (queue_.isCalm(now, *due)) {
+    return placed;
   }
   const double slots = placement_.usableSlots(now, *pool);
   if (slots == 0.0) {
-    return OpeningTurn::kPlace;  // Nothing is known, or there is nothing to wait for.
+    return placed;  // Nothing is known, or there is nothing to wait for.
   }
   const uint32_t limit = queue_.limitOf(slots, sendingNodes(*pool));
-  const OpeningTurn turn = queue_.turnOf(now, *name, limit, packet.hash);
-  if (turn == OpeningTurn::kWait) {
-    queue_.hold(now, {packet.hash, *name, service.priority, service.requestTimeout, bytes});
+  const OpeningTurn turn = queue_.turnOf(now, *due, limit, packet.hash);
+  if (turn == OpeningTurn::kPlace) {
+    return placed;
+  }
+  if (turn == OpeningTurn::kRefuse) {
+    return {turn, {}, {}};
+  }
+  // A copy of an opening that waits would be placed twice.
+  if (!queue_.isWaiting(packet.hash)) {
+    const std::string* other = overflowPool(now, service, *due);
+    // The turn is taken now: openings after this one are due to the other parts of the split too,
+    // however long this one waits, and a part without room is owed nothing later.
+    service.groups.takeTurn();
+    if (other != nullptr) {
+      return {OpeningTurn::kPlace, *other, *due};
+    }
+  }
+  queue_.hold(now, {packet.hash, *due, service.priority, service.requestTimeout, bytes});
+  return {turn, {}, {}};
+}
+
+const std::string* TokenDirector::waitedFor(const ServiceEntry& service,
+                                            const FlowPacket& packet) const {
+  const std::string* pool = queue_.poolOf(packet.hash);
+  const auto index = pool == nullptr ? std::nullopt : service.groups.indexOf(*pool);
+  return index ? &service.groups.pools()[*index] : nullptr;
+}
+
+const std::string* TokenDirector::overflowPool(TimePoint now, ServiceEntry& service,
+                                               const std::string& due) {
+  const std::vector<std::string>& pools = service.groups.pools();
+  if (pools.size() < 2 || !overflow_.appliesTo(service.repeatable)) {
+    return nullptr;
+  }
+  std::vector<SplitPart> parts;
+  size_t dueIndex = 0;
+  for (size_t index = 0; index < pools.size(); ++index) {
+    dueIndex = pools[index] == due ? index : dueIndex;
+    parts.push_back({service.groups.partOf(index), useOf(now, pools[index])});
   }
-  return turn;
+  const auto chosen = service.overflow.choose(parts, dueIndex);
+  return chosen ? &pools[*chosen] : nullptr;
+}
+
+PoolUse TokenDirector::useOf(TimePoint now, const std::string& pool) {
+  const TokenPool* entry = hosts_.findPool(pool);
+  const double slots = entry == nullptr ? 0.0 : placement_.usableSlots(now, *entry);
+  if (slots == 0.0) {
+    return {};
+  }
+  const uint32_t nodes = std::max(sendingNodes(*entry), 1U);
+  return {true, static_cast<double>(queue_.openingsOf(now, pool)),
+          static_cast<double>(queue_.limitOf(slots, nodes)), entry->underWay.value(now),
+          slots / nodes};
 }
 
 uint32_t TokenDirector::sendingNodes(const TokenPool& pool) const {
@@ -441,10 +499,22 @@
   return nullptr;
 }
 
+TokenHost* TokenDirector::placeAt(TimePoint now, ServiceEntry& service,
+                                  const QueuedOpening& queued) {
+  TokenHost* host = placement_.place(now, *hosts_.findPool(queued.pool), 0);
+  if (host == nullptr) {
+    return place(now, service, 0);
+  }
+  noteEvidence(service, 0);
+  placement_.evidence().overflowFrom = queued.overflowFrom;
+  return host;
+}
+
 void TokenDirector::noteEvidence(const ServiceEntry& service, uint32_t avoided) {
   PlacementEvidence& evidence = placement_.evidence();
   const TokenHost* avoidedHost = hosts_.find(avoided);
   evidence.service = service.name;
+  evidence.overflowFrom = {};
   evidence.avoidedHost = avoidedHost == nullptr ? std::string_view{} : avoidedHost->spec.name;
 }
 
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -24,6 +24,7 @@
 #include "common/flow/held_packets.h"
 #include "common/flow/service_lookup.h"
 #include "common/messages/peer_messages.h"
+#include "common/overflow/split_overflow.h"
 #include "common/token/dead_host_flows.h"
 #include "common/token/flow_placement.h"
 #include "common/token/flow_progress.h"
@@ -45,6 +46,8 @@
   PlacementOptions placement{};
   ColdHostOptions coldHosts{};
   OpeningLimits openings{};
+  /** When a flow may leave the part of its split that it is due to. */
+  OverflowOptions overflow{};
 };
 
 /** One request's time, for other nodes. */
@@ -126,6 +129,7 @@
     std::string name;
     uint64_t listen = 0;
     GroupShares groups;
+    SplitOverflow overflow;
     bool repeatable = false;
     uint32_t priority = 1;
     /** Callers give a request up after so long; 0: not known. */
@@ -138,9 +142,26 @@
   /** @param remaining how much longer the host is cold. @return whether it was not cold before. */
   bool beginCold(TimePoint now, const TokenPool& pool, TokenHost& host, Duration remaining);
   FlowDecision open(TimePoint now, const FlowPacket& packet, std::string_view bytes);
+  /** What becomes of an opening. */
+  struct QueuedOpening {
+    OpeningTurn turn = OpeningTurn::kPlace;
+    /** Of kPlace: the pool that takes it, since it waited for that one, or instead of the one that
+     * is due; empty: the one that is due. */
+    std::string pool;
+    /** The pool that was due and had no room; empty where none was. */
+    std::string_view overflowFrom;
+  };
   /** @return what becomes of an opening; where it is to wait, the queue has it now. */
-  OpeningTurn queue(TimePoint now, const ServiceEntry& service, const FlowPacket& packet,
-                    std::string_view bytes);
+  QueuedOpening queue(TimePoint now, ServiceEntry& service, const FlowPacket& packet,
+                      std::string_view bytes);
+  /** @return the pool that an opening waits for or has waited for, if its service still names it;
+   * nullptr for others. */
+  const std::string* waitedFor(const ServiceEntry& service, const FlowPacket& packet) const;
+  /** The pool that is due has no room. @return the one that takes the flow instead; nullptr: none.
+   */
+  const std::string* overflowPool(TimePoint now, ServiceEntry& service, const std::string& due);
+  /** @return what this node has at the pool, against what it may have there. */
+  PoolUse useOf(TimePoint now, const std::string& pool);
   /** @return nodes that send flows to the pool: zones are taken to have as many as this one. */
   uint32_t sendingNodes(const TokenPool& pool) const;
   FlowDecision follow(TimePoint now, const FlowPacket& packet, std::string_view bytes);
@@ -170,6 +191,8 @@
    * for none. */
   uint32_t noteRepeat(TimePoint now, const FlowPacket& packet);
   TokenHost* place(TimePoint now, ServiceEntry& service, uint32_t avoided);
+  /** Places a flow whose turn was taken before, at its pool where that has a host. */
+  TokenHost* placeAt(TimePoint now, ServiceEntry& service, const QueuedOpening& queued);
   void noteEvidence(const ServiceEntry& service, uint32_t avoided);
   static ForwardToHost forward(const TokenHost& host);
   /** Whether some group's pool has not arrived yet. */
@@ -178,6 +201,7 @@
   RandomSource& random_;
   const std::string zone_;
   const ColdHostOptions coldHosts_;
+  const OverflowOptions overflow_;
   uint32_t zoneNodes_ = 1;
   EvacuatedZones evacuated_;
   std::unordered_map<ServiceId, ServiceEntry> services_;
--- a/test/common/admission/opening_queue_test.cc
+++ b/test/common/admission/opening_queue_test.cc
@@ -65,6 +65,23 @@
   CHECK_FALSE(queue.nextDue().has_value());
 }
 
+TEST(OpeningQueue, TellsWhichPoolAnOpeningWaitsForUntilItHasItsTurn) {
+  fill();
+  POINTERS_EQUAL(nullptr, queue.poolOf(FlowHash{4}));
+  LONGS_EQUAL(kLimit, queue.openingsOf(now, kPool));
+  hold(4);
+  LONGS_EQUAL(kLimit + 1, queue.openingsOf(now, kPool));
+  LONGS_EQUAL(0, queue.openingsOf(now, "mapstore"));
+  CHECK_TRUE(queue.isWaiting(FlowHash{4}));
+  STRCMP_EQUAL(kPool.c_str(), queue.poolOf(FlowHash{4})->c_str());
+  answer(1);
+  LONGS_EQUAL(1, queue.take(now).size());
+  CHECK_FALSE(queue.isWaiting(FlowHash{4}));
+  STRCMP_EQUAL(kPool.c_str(), queue.poolOf(FlowHash{4})->c_str());
+  place(4);
+  POINTERS_EQUAL(nullptr, queue.poolOf(FlowHash{4}));
+}
+
 TEST(OpeningQueue, TheFirstAnswerLetsTheNextOpeningGo) {
   fill();
   hold(4);
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -35,6 +35,8 @@
 full_zone_load = 0.5
 openings_per_slot = 2.5
 opening_wait_part = 0.25
+overflow = "repeatable"
+overflow_part = 0.1
 )";
 
 std::string with(const std::string& from, const std::string& to) {
@@ -61,6 +63,7 @@
   CHECK_FALSE(read.sharesObservations);
   CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0, 0.5}));
   CHECK_TRUE(read.openings == (OpeningLimits{2.5, 0.25}));
+  CHECK_TRUE(read.overflow == (OverflowOptions{OverflowMode::kRepeatable, 0.1}));
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
   STRCMP_EQUAL("bole", read.zone.c_str());
@@ -104,8 +107,9 @@
   after.zone = "piassa";
   after.flowLifeSeconds = 30;
   after.lingerMilliseconds = 10;
+  after.overflow.mode = OverflowMode::kOff;
   const std::vector<SettingChange> expected = {
-      {"zone", false}, {"flow_life_seconds", true}, {"linger_milliseconds", true}};
+      {"zone", false}, {"flow_life_seconds", true}, {"linger_milliseconds", true}, {"overflow", false}};
   CHECK_TRUE(settingChanges(before, after) == expected);
 }
 
@@ -123,6 +127,10 @@
   checkRefused(SettingsErrorCode::kOutOfRange, "openings_per_slot", with("2.5", "-1"));
   checkRefused(SettingsErrorCode::kOutOfRange, "opening_wait_part",
                with("part = 0.25", "part = 1.5"));
+  checkRefused(SettingsErrorCode::kOutOfRange, "overflow", with("repeatable", "always"));
+  checkRefused(SettingsErrorCode::kWrongType, "overflow", with("\"repeatable\"", "true"));
+  checkRefused(SettingsErrorCode::kOutOfRange, "overflow_part",
+               with("overflow_part = 0.1", "overflow_part = 1.1"));
   checkRefused(SettingsErrorCode::kWrongType, "first_start",
                with("first_start = true", "first_start = 1"));
   const auto missing = loadTokenNodeSettings("/nonexistent/settings.toml");
--- a/test/common/token/group_shares_test.cc
+++ b/test/common/token/group_shares_test.cc
@@ -44,6 +44,26 @@
   POINTERS_EQUAL(nullptr, GroupShares().next());
 }
 
+TEST(GroupShares, ATurnThatIsTakenIsOwedToNobodyLater) {
+  GroupShares shares({{"a", 1}, {"b", 1}}, random);
+  std::map<std::string, int> taken;
+  for (int flow = 0; flow < 10; ++flow) {
+    ++taken[*shares.next()];
+    shares.takeTurn();
+  }
+  LONGS_EQUAL(5, taken["a"]);
+  auto counts = placed(shares, 10);
+  LONGS_EQUAL(5, counts["a"]);
+}
+
+TEST(GroupShares, FindsGroupsThatHaveAShare) {
+  GroupShares shares({{"new", 0}, {"old", 5}}, random);
+  CHECK_TRUE(shares.indexOf("old") == 1U);
+  CHECK_FALSE(shares.indexOf("new").has_value());
+  CHECK_FALSE(shares.indexOf("other").has_value());
+  DOUBLES_EQUAL(1.0, shares.partOf(1), 1e-9);
+}
+
 TEST(GroupShares, AGroupThatCouldNotBeServedIsOwedItsFlowsLater) {
   GroupShares shares({{"a", 1}, {"b", 1}}, random);
   for (int flow = 0; flow < 10; ++flow) {
--- a/test/platform/packet/flow_log_test.cc
+++ b/test/platform/packet/flow_log_test.cc
@@ -119,6 +119,36 @@
   LONGS_EQUAL(1, log.counters().openedByPool.at("dispatch").ownZone);
 }
 
+TEST(FlowLog, TellsWhichPoolWasDueWhereAnotherTookTheFlow) {
+  const std::string bytes = packetOf(kSyn, 0);
+  const ParsedPacket packet = valueOf(format.parse(bytes));
+  PlacementEvidence evidence;
+  evidence.overflowFrom = "mapstore";
+  ForwardToHost decision;
+  decision.label = {"h-1", "dispatch"};
+  decision.placement = &evidence;
+  log.onDecided(now, packet, decision, bytes);
+  STRCMP_CONTAINS(" pool=dispatch ", last().c_str());
+  STRCMP_CONTAINS(" overflow_from=mapstore", last().c_str());
+  LONGS_EQUAL(1, log.counters().overflowed.at({"mapstore", "dispatch"}));
+}
+
+TEST(FlowLog, CountsPairsOfPoolsWithABound) {
+  const std::string bytes = packetOf(kSyn, 0);
+  const ParsedPacket packet = valueOf(format.parse(bytes));
+  for (int number = 0; number < 100; ++number) {
+    const std::string from = "p-" + std::to_string(number);
+    PlacementEvidence evidence;
+    evidence.overflowFrom = from;
+    ForwardToHost decision;
+    decision.label = {"h-1", "dispatch"};
+    decision.placement = &evidence;
+    log.onDecided(now, packet, decision, bytes);
+  }
+  LONGS_EQUAL(65, log.counters().overflowed.size());
+  LONGS_EQUAL(36, log.counters().overflowed.at({"other", "other"}));
+}
+
 TEST(FlowLog, TellsOfARepeatedOpeningAndTheHostThatWasAvoided) {
   pass(packetOf(kSyn, 0));
   now += milliseconds(200);
