Bound overflow to a tenth of a split's flows

Drawn 4,000 times, the first 200 flows of a shortage at 59 nodes: the part beyond the weight was 0.175 at most with 0.1 and 0.205 with 0.15, where shares 0.2 off count as wrongly split; flows that carry more requests than others need the rest.

--- a/source/common/overflow/overflow_options.h
+++ b/source/common/overflow/overflow_options.h
@@ -28,10 +28,11 @@
   /**
    * A part of a split gets at most this part of the split's new flows beyond its weight, 0 to 1; 1:
    * only room bounds it. Shares that lie 0.2 off their weights count as wrongly split; the other
-   * quarter is left to chance: over 200 flows of 59 nodes shares scatter by 0.02 (one sigma, from
-   * the nodes' independent starts).
+   * half is left to chance and to flows that carry more requests than others. Over the first 200
+   * flows of a shortage at 59 nodes the part scatters by 0.015 (4,000 draws, one sigma); the most
+   * was 0.175 with 0.1, and 0.205 with 0.15.
    */
-  double mostPart = 0.15;
+  double mostPart = 0.1;
 
   bool operator==(const OverflowOptions&) const = default;
 
--- a/source/common/overflow/split_overflow.cc
+++ b/source/common/overflow/split_overflow.cc
@@ -12,7 +12,9 @@
  * flows of others: from here on waiting times grow fast (M/M/c). */
 constexpr double kSpareSlots = 0.8;
 
-double usedPart(const PoolUse& use) { return (use.openings + 1.0) / use.openingLimit; }
+double usedPart(const PoolUse& use) {
+  return (use.openings + 1.0) / use.openingLimit;
+}
 
 }  // namespace
 
--- a/source/common/overflow/split_overflow.h
+++ b/source/common/overflow/split_overflow.h
@@ -9,9 +9,9 @@
  * that went elsewhere and gets no burst of them later.
  *
  * Shares are bounded without a memory of earlier flows: of the openings that could overflow into a
- * part, only so many do that the part gets at most OverflowOptions::mostPart of all flows beyond its
- * weight, in whatever stretch of flows one counts. Calm time saves nothing up, as a token bucket
- * would: the savings of many nodes, spent in one moment, would break the bound for all nodes
+ * part, only so many do that the part gets at most OverflowOptions::mostPart of all flows beyond
+ * its weight, in whatever stretch of flows one counts. Calm time saves nothing up, as a token
+ * bucket would: the savings of many nodes, spent in one moment, would break the bound for all nodes
  * together.
  */
 #pragma once
--- a/test/common/overflow/split_overflow_property.cc
+++ b/test/common/overflow/split_overflow_property.cc
@@ -142,7 +142,6 @@
   const PoolUse full{true, 10.0, 10.0, 0.0, 2.0};
   const PoolUse spare{true, 0.0, 10.0, 0.0, 2.0};
   const std::vector<SplitPart> parts = {{0.5, full}, {0.5, spare}};
-  size_t beyondLimit = 0;
   constexpr size_t kRounds = 1000;
   RandomSource random{7};
   for (size_t round = 0; round < kRounds; ++round) {
@@ -154,10 +153,8 @@
     for (size_t due = 0; due < kFlows / 2; ++due) {
       overflowed += nodes[random.below(kNodes)].choose(parts, 0) ? 1 : 0;
     }
-    beyondLimit += static_cast<double>(overflowed) > kMostOff * kFlows ? 1 : 0;
+    CHECK_TRUE(static_cast<double>(overflowed) <= kMostOff * kFlows);
   }
-  // 30 of 200 are meant; 41 and more are beyond the limit.
-  CHECK_TRUE(beyondLimit <= kRounds / 100);
 }
 
 }  // namespace umberhold
--- a/test/common/overflow/split_overflow_test.cc
+++ b/test/common/overflow/split_overflow_test.cc
@@ -16,7 +16,9 @@
 TEST_GROUP(SplitOverflow) {
   RandomSource random{7};
 
-  SplitOverflow unbounded() { return {{OverflowMode::kByRoom, 1.0}, random}; }
+  SplitOverflow unbounded() {
+    return {{OverflowMode::kByRoom, 1.0}, random};
+  }
   /** @return overflows of so many openings that arrive while the first of the parts is full. */
   int overflows(SplitOverflow & overflow, const std::vector<SplitPart>& parts, int openings) {
     int count = 0;
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -108,8 +108,10 @@
   after.flowLifeSeconds = 30;
   after.lingerMilliseconds = 10;
   after.overflow.mode = OverflowMode::kOff;
-  const std::vector<SettingChange> expected = {
-      {"zone", false}, {"flow_life_seconds", true}, {"linger_milliseconds", true}, {"overflow", false}};
+  const std::vector<SettingChange> expected = {{"zone", false},
+                                               {"flow_life_seconds", true},
+                                               {"linger_milliseconds", true},
+                                               {"overflow", false}};
   CHECK_TRUE(settingChanges(before, after) == expected);
 }
 
--- a/test/common/token/token_director_overflow_test.cc
+++ b/test/common/token/token_director_overflow_test.cc
@@ -1,4 +1,5 @@
-/** @file Openings that leave the part of a split that has no room, and what shares are afterwards. */
+/** @file Openings that leave the part of a split that has no room, and what shares are afterwards.
+ */
 #include "common/token/token_director.h"
 
 #include <map>
@@ -68,9 +69,7 @@
     director_.setPool(now_, hosts);
   }
   /** @return the pool that a new flow goes to; "" where it waits or is refused. */
-  std::string open(const std::string& service = kService) {
-    return openAs(++flow_, service);
-  }
+  std::string open(const std::string& service = kService) { return openAs(++flow_, service); }
   std::string openAs(uint64_t flow, const std::string& service = kService) {
     const FlowDecision decision = director_.decide(
         now_, packet(service, flow, PacketPhase::kOpening), "opening " + std::to_string(flow));
