--- a/source/common/server/flow_log.h
+++ b/source/common/server/flow_log.h
@@ -31,7 +31,9 @@
   std::string from;
   std::string to;
 
-  auto operator<=>(const OverflowPair&) const = default;
+  bool operator<(const OverflowPair& other) const {
+    return from != other.from ? from < other.from : to < other.to;
+  }
 };
 
 /** What the log saw, whether it wrote a line or not. */
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -187,7 +187,7 @@
   if (pool == nullptr) {
     return {};
   }
-  const QueuedOpening placed{OpeningTurn::kPlace, waited == nullptr ? std::string{} : *waited, {}};
+  QueuedOpening placed{OpeningTurn::kPlace, waited == nullptr ? std::string{} : *waited, {}};
   if (queue_.isCalm(now, *due)) {
     return placed;
   }
