--- a/bench/load_model/heavy_days.cc
+++ b/bench/load_model/heavy_days.cc
@@ -17,6 +17,27 @@
   return [openingsPerSlot](LoadDay& day) { day.openings.openingsPerSlot = openingsPerSlot; };
 }
 
+/** Most hosts of a pool that two services share have left; then three times the users of one kind
+ * come. */
+LoadDay shortRoom(size_t kind, double users) {
+  LoadDay day;
+  day.zones = {{"recife", 31, 18, 1160}, {"pecem", 27, 18, 1230}, {"petrolina", 24, 18, 1080}};
+  day.kinds = {{40.0, 500.0, 0.67, 2, false}, {52.0, 500.0, 0.33, 1, true}};
+  LoadEvent burst;
+  burst.from = 5.0;
+  burst.to = 11.0;
+  burst.users = users;
+  burst.kind = kind;
+  day.events = {burst};
+  day.seconds = 16.0;
+  return day;
+}
+
+/** @return a way in which a try may take so much of the time that callers allow at its host. */
+std::function<void(LoadDay&)> withHostTime(double part) {
+  return [part](LoadDay& day) { day.room.hostTimePart = part; };
+}
+
 }  // namespace
 
 LoadDay usualDay() {
@@ -55,7 +76,9 @@
           {"half gone, x 2", dayWith({gone, doubled})},
           {"most gone, x 3", dayWith({mostGone, tripled})},
           {"nine of ten slow", dayWith({slow})},
-          {"a quarter dark", dayWith({dark})}};
+          {"a quarter dark", dayWith({dark})},
+          {"usual kind x 3", shortRoom(0, 2.34)},
+          {"urgent kind x 3", shortRoom(1, 1.66)}};
 }
 
 std::vector<NamedWay> ways() {
@@ -68,6 +91,9 @@
           {"3 openings a slot", withOpenings(3.0)},
           {"5 openings a slot", withOpenings(5.0)},
           {"6 openings a slot", withOpenings(6.0)},
+          {"no room by times", withHostTime(0.0)},
+          {"a fifth at hosts", withHostTime(0.2)},
+          {"half at hosts", withHostTime(0.5)},
           {"refused at once", [](LoadDay& day) { day.openings.longestWaitPart = 0.0; }},
           {"full at 0.5", [](LoadDay& day) { day.placement.fullZoneLoad = 0.5; }},
           {"no zone preferred", [](LoadDay& day) { day.placement.prefersOwnZone = false; }}};
--- a/bench/load_model/load_day.h
+++ b/bench/load_model/load_day.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "common/admission/opening_queue.h"
+#include "common/admission/room_limits.h"
 #include "common/token/placement_options.h"
 
 namespace umberhold::load_model {
@@ -27,6 +29,8 @@
   double share = 0.67;
   /** As Service::priority. */
   uint32_t priority = 1;
+  /** Each request opens a flow of its own. */
+  bool opensEach = false;
 };
 
 /** What happens from `from` to `to`, in seconds. Factors of 1 change nothing. */
@@ -35,6 +39,8 @@
   double to = 0.0;
   /** Users, as a multiple of those at the start. */
   double users = 1.0;
+  /** What the users that come ask for: the index of a kind; none: all kinds. */
+  std::optional<size_t> kind{};
   /** This part of each zone's hosts takes no new flow, and is gone a second later. */
   double hostsGone = 0.0;
   /** This part of the hosts works so many times longer. */
@@ -68,6 +74,7 @@
   Chooser chooser = Chooser::kNodes;
   PlacementOptions placement{};
   OpeningLimits openings{};
+  RoomLimits room{};
   /** Nodes of a zone tell each other of silent hosts. */
   bool sharesSilence = true;
   uint64_t seed = 1;
--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -69,6 +69,8 @@
   size_t zone = 0;
   /** Users of a burst leave when it ends. */
   double until = 1e9;
+  /** All that it asks for; none: all kinds. */
+  std::optional<size_t> kind;
   /** One for each kind. */
   std::vector<Flow> flows;
 };
@@ -167,6 +169,7 @@
         options.zone = zone.name;
         options.placement = day_.placement;
         options.openings = day_.openings;
+        options.room = day_.room;
         nodes.push_back(std::make_unique<TokenDirector>(options, random_));
         nodes.back()->setZoneNodes(zone.nodes);
         nodes.back()->setPool(now(), pool());
@@ -178,6 +181,7 @@
           service.groups = {{kPool, 1}};
           service.repeatable = kind == 0;
           service.priority = day_.kinds[kind].priority;
+          service.targetLatencyMilliseconds = static_cast<uint32_t>(day_.kinds[kind].aim);
           service.requestTimeoutMilliseconds = static_cast<uint32_t>(kDeadline * 1000.0);
           nodes.back()->setService(service);
         }
@@ -191,11 +195,13 @@
       }
     }
   }
-  void addUsers(size_t zone, size_t count, double from, double within, double until) {
+  void addUsers(size_t zone, size_t count, double from, double within, double until,
+                std::optional<size_t> kind = std::nullopt) {
     for (size_t added = 0; added < count; ++added) {
       User& user = users_.emplace_back();
       user.zone = zone;
       user.until = until;
+      user.kind = kind;
       user.flows.resize(day_.kinds.size());
       const size_t index = users_.size() - 1;
       for (size_t kind = 0; kind < day_.kinds.size(); ++kind) {
@@ -212,7 +218,7 @@
     for (size_t zone = 0; zone < day_.zones.size(); ++zone) {
       const double more = (event.users - 1.0) * day_.zones[zone].users;
       if (more > 0.0) {
-        addUsers(zone, static_cast<size_t>(more), now_, 1.0, event.to);
+        addUsers(zone, static_cast<size_t>(more), now_, 1.0, event.to, event.kind);
       }
     }
     std::vector<size_t> order(hosts_.size());
@@ -342,8 +348,8 @@
       return;
     }
     double draw = random_.unit();
-    size_t kind = 0;
-    while (kind + 1 < day_.kinds.size() && draw >= day_.kinds[kind].share) {
+    size_t kind = user.kind.value_or(0);
+    while (!user.kind && kind + 1 < day_.kinds.size() && draw >= day_.kinds[kind].share) {
       draw -= day_.kinds[kind].share;
       ++kind;
     }
@@ -534,7 +540,7 @@
       decide(user, request.kind, PacketPhase::kContinuing, 0);
       takeReleased(*nodeOf(user, flow));
     }
-    if (hosts_[flow.host].leaving) {
+    if (hosts_[flow.host].leaving || day_.kinds[request.kind].opensEach) {
       close(flow);
     }
     const bool inAim = (now_ - request.askedAt) * 1000.0 <= day_.kinds[request.kind].aim;
--- /dev/null
+++ b/source/common/admission/admission.h
@@ -0,0 +1,148 @@
+/**
+ * @file Which openings of flows are placed at once, wait in the node, or are refused: the facade of
+ * this folder.
+ *
+ * Requests on flows that are open can't be held back: a node must neither drop nor reset them. So
+ * they are counted, and the openings of services that share a pool with a more urgent one get what
+ * they leave of its room. Openings of the most urgent service wait for each other alone.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "common/admission/opening_queue.h"
+#include "common/admission/pool_room.h"
+#include "common/admission/pool_use.h"
+#include "common/admission/room_limits.h"
+#include "common/base/time.h"
+#include "common/flow/flow_director.h"
+#include "common/messages/room_messages.h"
+
+namespace umberhold {
+
+/** What admission knows of the service of an opening. */
+struct OpeningNeeds {
+  std::string_view service;
+  uint32_t priority = 0;
+  /** Callers give the request up after so long; 0: not known. */
+  Duration requestTimeout{0};
+  /** Callers want an answer within so long; 0: not known. */
+  Duration targetLatency{0};
+};
+
+/** A pool's hosts, as a node that sends flows there sees them. */
+struct PoolSize {
+  /** Requests that its good hosts work on at once; 0: not known. */
+  double slots = 0.0;
+  /** Nodes that send flows to the pool. */
+  uint32_t sendingNodes = 1;
+};
+
+/** What became of one service's openings at one pool, since the start. */
+struct AdmissionCounters {
+  uint64_t waited = 0;
+  /** They could not have been answered in time. */
+  uint64_t refusedAtOnce = 0;
+  uint64_t refusedAfterWait = 0;
+  /** Requests whose time at the host alone was beyond the service's target. */
+  uint64_t lateByEstimate = 0;
+};
+
+/** A pool's figures, for metrics. */
+struct PoolFigures {
+  std::string pool;
+  PoolRoom room;
+  double underWay = 0.0;
+  double onOpenFlows = 0.0;
+  size_t waiting = 0;
+};
+
+/** See the file comment. Decisions without I/O. Not thread safe. */
+class Admission {
+ public:
+  Admission(OpeningLimits openings, RoomLimits room);
+
+  /** @param parts borrowed; must outlive this object. Without them, each node has an equal part. */
+  void setRoomParts(const RoomParts& parts) { parts_ = &parts; }
+
+  /**
+   * @param size asked for only where the pool is not calm.
+   * @return what becomes of an opening that arrived, or that take() gave; where it is to wait, it
+   * is kept.
+   */
+  OpeningTurn turnOf(TimePoint now, const std::string& pool, const OpeningNeeds& needs,
+                     FlowHash flow, std::string_view bytes,
+                     const std::function<PoolSize()>& size);
+  void onPlaced(TimePoint now, const std::string& pool, FlowHash flow, uint32_t priority) {
+    queue_.onPlaced(now, pool, flow, priority);
+  }
+  /** A later packet of a flow; see OpeningQueue. */
+  bool onFollowed(TimePoint now, const FlowPacket& packet, std::optional<Duration> patience) {
+    return queue_.onFollowed(now, packet, patience);
+  }
+  /** A request of a service ended, or waits beyond all measure. */
+  void onEnded(TimePoint now, const std::string& pool, const OpeningNeeds& needs,
+               const EndedRequest& request);
+
+  /** @return openings that wait no longer; see OpeningQueue. */
+  std::vector<std::string> take(TimePoint now) { return queue_.take(now); }
+  std::optional<TimePoint> nextDue() const { return queue_.nextDue(); }
+
+  /** @return the room of a pool whose times are known; else nothing is held back by it. */
+  PoolRoom roomOf(TimePoint now, const std::string& pool, const PoolSize& size) const;
+  /** @return whether an opening of a service that yields to others would be placed at once. */
+  bool hasRoom(TimePoint now, const std::string& pool, const PoolSize& size) const;
+  /** @return the pools that were short since the last call: openings wait or were refused. */
+  std::vector<PoolDemand> takeDemands(TimePoint now);
+
+  std::vector<PoolFigures> figures(TimePoint now) const;
+  /** @return by pool and service. */
+  const std::map<std::pair<std::string, std::string>, AdmissionCounters>& counters() const {
+    return counters_;
+  }
+  /** Forgets what is known of a pool that is no more, its counters included. */
+  void removePool(const std::string& pool);
+
+ private:
+  struct Pool {
+    PoolUse use;
+    TimeOfLate atHosts;
+    /** The shortest target latency of the services that use it; 0: none has one. */
+    Duration targetLatency{0};
+    /** As of the last opening that was not placed at once. */
+    PoolRoom room;
+    uint32_t refused = 0;
+  };
+
+  const Pool* known(const std::string& pool) const;
+  /** Keeps an opening that is to wait, if that helps its caller. */
+  OpeningTurn hold(TimePoint now, const std::string& pool, const OpeningNeeds& needs, FlowHash flow,
+                   std::string_view bytes);
+  /** Counts what became of an opening. @return the turn. */
+  OpeningTurn noted(OpeningTurn turn, const std::string& pool, const OpeningNeeds& needs);
+  OpeningClaim claimOf(TimePoint now, const std::string& pool, const OpeningNeeds& needs,
+                       const PoolSize& size);
+  /** @return for how long it helps an opening to wait; none: not known. */
+  std::optional<Duration> usefulWait(TimePoint now, const std::string& pool,
+                                     const OpeningNeeds& needs) const;
+  /** @return whether the opening is placed whatever the pool's size. */
+  bool isCalm(TimePoint now, const std::string& pool, const OpeningNeeds& needs);
+  AdmissionCounters& countersOf(const std::string& pool, const OpeningNeeds& needs);
+
+  const RoomLimits limits_;
+  OpeningQueue queue_;
+  EqualRoomParts equalParts_;
+  const RoomParts* parts_ = &equalParts_;
+  std::map<std::string, Pool> pools_;
+  std::map<std::pair<std::string, std::string>, AdmissionCounters> counters_;
+};
+
+}  // namespace umberhold
--- a/source/common/admission/opening_queue.cc
+++ b/source/common/admission/opening_queue.cc
@@ -28,11 +28,29 @@
   if (known == pools_.end()) {
     return true;
   }
-  return known->second.underWay < kLeastLimit && known->second.queue.empty();
+  return known->second.underWay < kLeastLimit && known->second.waiting() == 0;
+}
+
+size_t OpeningQueue::Pool::waiting() const {
+  size_t sum = 0;
+  for (const auto& [priority, level] : levels) {
+    sum += level.queue.size();
+  }
+  return sum;
+}
+
+size_t OpeningQueue::waitingCount(const std::string& pool) const {
+  const auto known = pools_.find(pool);
+  return known == pools_.end() ? 0 : known->second.waiting();
+}
+
+uint32_t OpeningQueue::underWayCount(const std::string& pool) const {
+  const auto known = pools_.find(pool);
+  return known == pools_.end() ? 0 : known->second.underWay;
 }
 
 OpeningTurn OpeningQueue::turnOf(TimePoint now, const std::string& pool, uint32_t limit,
-                                 FlowHash flow) {
+                                 FlowHash flow, const OpeningClaim& claim) {
   const auto turn = turns_.find(flow);
   if (turn != turns_.end()) {
     const OpeningTurn given = turn->second;
@@ -42,19 +60,22 @@
   endOverdue(now);
   Pool& state = pools_[pool];
   state.limit = limit;
+  Level& level = state.levels[claim.priority];
+  level.claim = claim;
   if (waiting_.contains(flow)) {
     return OpeningTurn::kWait;
   }
-  const bool isFull = state.underWay >= limit && waiting_.size() < kCapacity;
+  const bool isFull = !state.isFor(level) && waiting_.size() < kCapacity;
   return isFull ? OpeningTurn::kWait : OpeningTurn::kPlace;
 }
 
-Duration OpeningQueue::longestWait(Duration requestTimeout) const {
-  if (requestTimeout == Duration{0}) {
-    return kLongestWait;
+Duration OpeningQueue::longestWait(const WaitingOpening& opening) const {
+  const Duration longest = std::min(kLongestWait, opening.usefulWait.value_or(kLongestWait));
+  if (opening.requestTimeout == Duration{0}) {
+    return longest;
   }
-  const double part = limits_.longestWaitPart * static_cast<double>(requestTimeout.count());
-  return std::min(kLongestWait, Duration{static_cast<Duration::rep>(part)});
+  const double part = limits_.longestWaitPart * static_cast<double>(opening.requestTimeout.count());
+  return std::min(longest, Duration{static_cast<Duration::rep>(part)});
 }
 
 void OpeningQueue::hold(TimePoint now, const WaitingOpening& opening) {
@@ -63,29 +84,36 @@
     copy->second.bytes = opening.bytes;
     return;
   }
-  const Rank rank{opening.priority, ++arrivals_};
-  const TimePoint until = now + longestWait(opening.requestTimeout);
-  waiting_.emplace(opening.flow, Waiting{opening.pool, rank, std::string(opening.bytes), until});
-  pools_[opening.pool].queue.emplace(rank, opening.flow);
+  const Duration longest = longestWait(opening);
+  const TimePoint until = now + longest;
+  Waiting& waiting = waiting_[opening.flow];
+  waiting = {opening.pool, opening.priority, ++arrivals_, std::string(opening.bytes), until, {}};
+  if (opening.usefulWait) {
+    waiting.orderlyUntil = now + longest / 2;
+  }
+  pools_[opening.pool].levels[opening.priority].queue.emplace(waiting.arrival, opening.flow);
   refusedAt_.emplace(until, opening.flow);
 }
 
-void OpeningQueue::onPlaced(TimePoint now, const std::string& pool, FlowHash flow) {
+void OpeningQueue::onPlaced(TimePoint now, const std::string& pool, FlowHash flow,
+                            uint32_t priority) {
   if (limits_.openingsPerSlot <= 0.0) {
     return;
   }
   const TimePoint until = now + kUnfollowedTime;
-  if (underWay_.try_emplace(flow, UnderWay{pool, std::nullopt, until}).second) {
-    ++pools_[pool].underWay;
+  if (underWay_.try_emplace(flow, UnderWay{pool, priority, std::nullopt, until}).second) {
+    Pool& state = pools_[pool];
+    ++state.underWay;
+    ++state.levels[priority].underWay;
     overdueAt_.emplace(until, flow);
   }
 }
 
-void OpeningQueue::onFollowed(TimePoint now, const FlowPacket& packet,
+bool OpeningQueue::onFollowed(TimePoint now, const FlowPacket& packet,
                               std::optional<Duration> patience) {
   const auto entry = underWay_.find(packet.hash);
   if (entry == underWay_.end()) {
-    return;
+    return false;
   }
   UnderWay& opening = entry->second;
   const bool hasEnded =
@@ -99,6 +127,7 @@
     opening.until = now + patience.value_or(kLongestUnknown);
     overdueAt_.emplace(opening.until, packet.hash);
   }
+  return true;
 }
 
 std::vector<std::string> OpeningQueue::take(TimePoint now) {
@@ -109,10 +138,7 @@
   }
   endOverdue(now);
   for (auto& [name, pool] : pools_) {
-    uint32_t room = pool.limit - std::min(pool.limit, pool.underWay);
-    for (; room > 0 && !pool.queue.empty(); --room) {
-      taken.push_back(release(waiting_.find(pool.queue.begin()->second), OpeningTurn::kPlace));
-    }
+    takeFrom(now, pool, taken);
   }
   while (!refusedAt_.empty() && refusedAt_.begin()->first <= now) {
     const auto entry = waiting_.find(refusedAt_.begin()->second);
@@ -124,9 +150,31 @@
   return taken;
 }
 
+void OpeningQueue::takeFrom(TimePoint now, Pool& pool, std::vector<std::string>& taken) {
+  // What goes now counts as under way at once: onPlaced() comes after the last of them.
+  const uint32_t before = pool.underWay;
+  for (auto& [priority, level] : pool.levels) {
+    const uint32_t ownBefore = level.underWay;
+    while (!level.queue.empty() && pool.isFor(level)) {
+      taken.push_back(release(waiting_.find(nextOf(now, level)), OpeningTurn::kPlace));
+      ++pool.underWay;
+      ++level.underWay;
+    }
+    level.underWay = ownBefore;
+  }
+  pool.underWay = before;
+}
+
+FlowHash OpeningQueue::nextOf(TimePoint now, const Level& level) const {
+  const FlowHash earliest = level.queue.begin()->second;
+  const std::optional<TimePoint> orderlyUntil = waiting_.find(earliest)->second.orderlyUntil;
+  const bool isOrderly = !orderlyUntil || now < *orderlyUntil;
+  return isOrderly ? earliest : level.queue.rbegin()->second;
+}
+
 std::string OpeningQueue::release(WaitingFlows::iterator entry, OpeningTurn turn) {
   turns_[entry->first] = turn;
-  pools_[entry->second.pool].queue.erase(entry->second.rank);
+  pools_[entry->second.pool].levels[entry->second.priority].queue.erase(entry->second.arrival);
   std::string bytes = std::move(entry->second.bytes);
   waiting_.erase(entry);
   return bytes;
@@ -152,7 +200,8 @@
 
 void OpeningQueue::end(UnderWayFlows::iterator entry) {
   const auto pool = pools_.find(entry->second.pool);
-  if (--pool->second.underWay == 0 && pool->second.queue.empty()) {
+  --pool->second.levels[entry->second.priority].underWay;
+  if (--pool->second.underWay == 0 && pool->second.waiting() == 0) {
     pools_.erase(pool);
   }
   underWay_.erase(entry);
--- a/source/common/admission/opening_queue.h
+++ b/source/common/admission/opening_queue.h
@@ -19,14 +19,15 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "common/base/strong_id.h"
@@ -56,8 +57,26 @@
   bool operator==(const OpeningLimits&) const = default;
 };
 
+/** What the openings of one priority may use of a pool. */
+struct OpeningClaim {
+  /** Service::priority. */
+  uint32_t priority = 0;
+  /** They wait from so many openings under way at the pool on, those of other priorities included:
+   * what is left up to the pool's limit is for more urgent ones. */
+  uint32_t limit = std::numeric_limits<uint32_t>::max();
+  /** So many of this priority may be under way whatever others use: they are never starved. */
+  uint32_t least = 0;
+};
+
 /** What becomes of an opening. */
-enum class OpeningTurn : uint8_t { kPlace, kWait, kRefuse };
+enum class OpeningTurn : uint8_t {
+  kPlace,
+  kWait,
+  /** It has waited as long as it may. */
+  kRefuse,
+  /** It has to wait, and would then be too late for its caller. */
+  kRefuseTooLate,
+};
 
 /** An opening that is to wait. */
 struct WaitingOpening {
@@ -69,6 +88,10 @@
   Duration requestTimeout{0};
   /** The whole packet. */
   std::string_view bytes;
+  /** One that waits for longer is answered too late for its caller; none: not known. The earliest
+   * goes first while it has waited for less than half of that, then the latest: under a queue that
+   * doesn't end, some are in time instead of none (adaptive LIFO). */
+  std::optional<Duration> usefulWait{};
 };
 
 /**
@@ -85,14 +108,15 @@
   bool isCalm(TimePoint now, const std::string& pool);
   /** @param limit of this node, see limitOf(). @return what becomes of an opening that arrived, or
    * that take() gave. */
-  OpeningTurn turnOf(TimePoint now, const std::string& pool, uint32_t limit, FlowHash flow);
+  OpeningTurn turnOf(TimePoint now, const std::string& pool, uint32_t limit, FlowHash flow,
+                     const OpeningClaim& claim = {});
   /** Keeps an opening whose turn is kWait; a copy takes the place of the one before. */
   void hold(TimePoint now, const WaitingOpening& opening);
   /** An opening was placed at a host of the pool. */
-  void onPlaced(TimePoint now, const std::string& pool, FlowHash flow);
+  void onPlaced(TimePoint now, const std::string& pool, FlowHash flow, uint32_t priority = 0);
   /** A later packet of a flow. @param patience for how long its request may count as under way;
-   * none: not known. */
-  void onFollowed(TimePoint now, const FlowPacket& packet, std::optional<Duration> patience);
+   * none: not known. @return whether the flow counted as under way. */
+  bool onFollowed(TimePoint now, const FlowPacket& packet, std::optional<Duration> patience);
 
   /** @return openings that wait no longer, whole packets. They are to be decided on again before
    * the next call. */
@@ -100,7 +124,11 @@
   /** @return when take() may have something to give without further packets; none where nothing
    * waits. */
   std::optional<TimePoint> nextDue() const;
+  bool isWaiting(FlowHash flow) const { return waiting_.contains(flow); }
   size_t waitingCount() const { return waiting_.size(); }
+  size_t waitingCount(const std::string& pool) const;
+  /** @return openings under way at the pool. */
+  uint32_t underWayCount(const std::string& pool) const;
 
   /** Callers send an opening again after 200 and 600 ms and give it up 800 ms later: one that goes
    * on after this time is still answered. */
@@ -114,27 +142,47 @@
  private:
   struct UnderWay {
     std::string pool;
+    uint32_t priority = 0;
     /** What the caller acknowledged as it ended the handshake; none before. */
     std::optional<uint32_t> acknowledged;
     TimePoint until{};
   };
-  /** The more urgent service first, then the earlier opening. */
-  using Rank = std::pair<uint32_t, uint64_t>;
   struct Waiting {
     std::string pool;
-    Rank rank;
+    uint32_t priority = 0;
+    /** Rises with each opening. */
+    uint64_t arrival = 0;
     std::string bytes;
     TimePoint until{};
+    /** The latest goes first from then on; none: never. */
+    std::optional<TimePoint> orderlyUntil;
+  };
+  /** Openings of one priority at a pool. */
+  struct Level {
+    OpeningClaim claim;
+    uint32_t underWay = 0;
+    /** By arrival. */
+    std::map<uint64_t, FlowHash> queue;
   };
   struct Pool {
     uint32_t underWay = 0;
     uint32_t limit = kLeastLimit;
-    std::map<Rank, FlowHash> queue;
+    /** The most urgent first. */
+    std::map<uint32_t, Level> levels;
+
+    bool isFor(const Level& level) const {
+      return underWay < std::min(limit, level.claim.limit) || level.underWay < level.claim.least;
+    }
+    size_t waiting() const;
   };
   using UnderWayFlows = std::unordered_map<FlowHash, UnderWay>;
   using WaitingFlows = std::unordered_map<FlowHash, Waiting>;
 
-  Duration longestWait(Duration requestTimeout) const;
+  Duration longestWait(const WaitingOpening& opening) const;
+  /** @return which opening of those that wait goes next. */
+  FlowHash nextOf(TimePoint now, const Level& level) const;
+  /** Releases what the pool has room for. */
+  void takeFrom(TimePoint now, Pool& pool, std::vector<std::string>& taken);
   /** Openings that count for long enough are under way no more. */
   void endOverdue(TimePoint now);
   void end(UnderWayFlows::iterator entry);
--- a/source/common/flow/flow_director.cc
+++ b/source/common/flow/flow_director.cc
@@ -12,6 +12,8 @@
       return "host_silent";
     case RefusalReason::kHostsBusy:
       return "hosts_busy";
+    case RefusalReason::kTooLate:
+      return "too_late";
     case RefusalReason::kUnknownService:
       return "unknown_service";
     case RefusalReason::kCount:
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -59,7 +59,7 @@
 
 TokenOptions optionsOf(const TokenNodeSettings& settings) {
   return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds), settings.placement,
-          settings.coldHosts, settings.openings};
+          settings.coldHosts, settings.openings, settings.room};
 }
 
 }  // namespace
@@ -323,6 +323,7 @@
         director.listedHostCount(),
         evacuatedZones.zones.size(),
         director.coldHostCount(steadyNow()),
+        director.admission(),
         path.counters(),
         port->counters(),
         flowLog.counters(),
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -1,5 +1,7 @@
 #include "common/server/token_node_metrics.h"
 
+#include "common/server/admission_metrics.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace umberhold {
@@ -154,6 +156,7 @@
                                      "Time from a datagram's reading to the end of its handling",
                                      metrics.packetTimes));
   addFlows(metrics.flows, families);
+  addAdmissionFamilies(metrics.now, metrics.admission, families);
   addStore(metrics, families);
   families.push_back(histogramFamily("umberhold_change_seconds",
                                      "Time from a change's arrival to its being in force",
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "common/admission/admission.h"
 #include "common/health/observation_exchange.h"
 #include "common/log/line_output.h"
 #include "common/platform/store_read_status.h"
@@ -28,6 +29,7 @@
   size_t hosts = 0;
   size_t evacuatedZones = 0;
   size_t coldHosts = 0;
+  const Admission& admission;
   const PacketCounters& packets;
   const UdpCounters& port;
   const FlowLogCounters& flows;
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -17,6 +17,7 @@
 constexpr int64_t kLongestBoundMilliseconds = 60000;
 /** Of the time after which callers give up. */
 constexpr double kLongestWaitPart = 1.0;
+constexpr double kLongestHostTimePart = 1.0;
 /** Beyond every ratio of answers' times. */
 constexpr double kHighestRatio = 1000.0;
 
@@ -183,6 +184,7 @@
     reader.fraction("full_zone_load", placement.fullZoneLoad, kHighestRatio);
     reader.fraction("openings_per_slot", settings.openings.openingsPerSlot, kHighestRatio, true);
     reader.fraction("opening_wait_part", settings.openings.longestWaitPart, kLongestWaitPart, true);
+    reader.fraction("host_time_part", settings.room.hostTimePart, kLongestHostTimePart, true);
     reader.fraction("cold_rate_factor", settings.coldHosts.rateFactor, kHighestRatio, true);
     reader.fraction("cold_rate_allowance", settings.coldHosts.rateAllowance, kHighestRatio, true);
     reader.refuseOtherKeys();
@@ -241,6 +243,9 @@
   };
   compareOpenings("openings_per_slot", &OpeningLimits::openingsPerSlot);
   compareOpenings("opening_wait_part", &OpeningLimits::longestWaitPart);
+  if (before.room != after.room) {
+    changes.push_back({"host_time_part", false});
+  }
   const auto compareCold = [&](const char* key, auto member) {
     if (before.coldHosts.*member != after.coldHosts.*member) {
       changes.push_back({key, false});
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/admission/opening_queue.h"
+#include "common/admission/room_limits.h"
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
 #include "common/settings/settings.h"
@@ -61,6 +62,8 @@
   ColdHostOptions coldHosts{};
   /** When openings of flows wait in the node. */
   OpeningLimits openings{};
+  /** How far services with a target latency are held back by times. */
+  RoomLimits room{};
 };
 
 /** A key whose value differs between two settings. */
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -41,7 +41,7 @@
       coldHosts_(options.coldHosts),
       hosts_(options.flowLife),
       placement_(zone_, options.placement, random),
-      queue_(options.openings),
+      admission_(options.openings, options.room),
       deadHostFlows_(options.flowLife) {}
 
 std::vector<HostChange> TokenDirector::setPool(TimePoint now, const HostPool& pool,
@@ -61,6 +61,7 @@
 std::vector<HostChange> TokenDirector::removePool(TimePoint now, const std::string& name,
                                                   uint64_t version) {
   std::vector<HostChange> changes = hosts_.removePool(now, name, version);
+  admission_.removePool(name);
   noteChanges(now, changes);
   return changes;
 }
@@ -123,6 +124,7 @@
   entry.repeatable = service.repeatable;
   entry.priority = service.priority;
   entry.requestTimeout = std::chrono::milliseconds(service.requestTimeoutMilliseconds);
+  entry.targetLatency = std::chrono::milliseconds(service.targetLatencyMilliseconds);
   entry.groups = GroupShares(service.groups, random_);
   listeners_[entry.listen] = id;
 }
@@ -161,6 +163,9 @@
   if (turn == OpeningTurn::kRefuse) {
     return RefuseFlow{RefusalReason::kHostsBusy};
   }
+  if (turn == OpeningTurn::kRefuseTooLate) {
+    return RefuseFlow{RefusalReason::kTooLate};
+  }
   TokenHost* host = place(now, service->second, avoided);
   if (host == nullptr) {
     return awaitsPool(service->second) ? FlowDecision(DropPacket{DropReason::kNoHost})
@@ -169,7 +174,7 @@
   host->estimate.onOpening(now);
   host->cold.onPlaced(now);
   openings_.onPlaced(now, packet.hash, host->token);
-  queue_.onPlaced(now, host->pool, packet.hash);
+  admission_.onPlaced(now, host->pool, packet.hash, service->second.priority);
   ForwardToHost decision = forward(*host);
   decision.placement = &placement_.evidence();
   return decision;
@@ -179,19 +184,12 @@
                                  const FlowPacket& packet, std::string_view bytes) {
   const std::string* name = service.groups.next();
   const TokenPool* pool = name == nullptr ? nullptr : hosts_.findPool(*name);
-  if (pool == nullptr || queue_.isCalm(now, *name)) {
+  if (pool == nullptr) {
     return OpeningTurn::kPlace;
   }
-  const double slots = placement_.usableSlots(now, *pool);
-  if (slots == 0.0) {
-    return OpeningTurn::kPlace;  // Nothing is known, or there is nothing to wait for.
-  }
-  const uint32_t limit = queue_.limitOf(slots, sendingNodes(*pool));
-  const OpeningTurn turn = queue_.turnOf(now, *name, limit, packet.hash);
-  if (turn == OpeningTurn::kWait) {
-    queue_.hold(now, {packet.hash, *name, service.priority, service.requestTimeout, bytes});
-  }
-  return turn;
+  return admission_.turnOf(now, *name, service.needs(), packet.hash, bytes, [&] {
+    return PoolSize{placement_.usableSlots(now, *pool), sendingNodes(*pool)};
+  });
 }
 
 uint32_t TokenDirector::sendingNodes(const TokenPool& pool) const {
@@ -204,7 +202,7 @@
 
 std::vector<std::string> TokenDirector::takeReleased(TimePoint now) {
   std::vector<std::string> released = std::exchange(arrived_, {});
-  for (std::string& bytes : queue_.take(now)) {
+  for (std::string& bytes : admission_.take(now)) {
     released.push_back(std::move(bytes));
   }
   return released;
@@ -235,8 +233,8 @@
     noteAnswered(now, *host);
   }
   deadHostFlows_.note(now, packet);
-  noteOpened(now, packet);
-  noteResponse(now, packet, *host);
+  const bool opened = noteOpened(now, packet);
+  noteResponse(now, packet, *host, opened);
   const bool isLost = noteProgress(now, packet, *host);
   const bool isSentInVain =
       packet.dataBytes > 0 && host->isDead(now) && isRepeatable(packet.service);
@@ -247,14 +245,15 @@
   return forward(*host);
 }
 
-void TokenDirector::noteOpened(TimePoint now, const FlowPacket& packet) {
+bool TokenDirector::noteOpened(TimePoint now, const FlowPacket& packet) {
   const auto service = services_.find(packet.service);
-  queue_.onFollowed(
+  return admission_.onFollowed(
       now, packet,
       service == services_.end() ? std::nullopt : service->second.usualTime.timeOf(kOverdueRatio));
 }
 
-void TokenDirector::noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host) {
+void TokenDirector::noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host,
+                                 bool opened) {
   const auto service = services_.find(packet.service);
   if (service == services_.end()) {
     return;
@@ -264,7 +263,7 @@
   if (!response) {
     return;
   }
-  noteUnderWay(now, host, *response);
+  noteUnderWay(now, service->second, host, *response, opened);
   const auto ratio = usualTime.ratioOf(*response);
   usualTime.add(now, *response);
   if (ratio) {
@@ -272,9 +271,12 @@
   }
 }
 
-void TokenDirector::noteUnderWay(TimePoint now, const TokenHost& host, Duration took) {
+void TokenDirector::noteUnderWay(TimePoint now, const ServiceEntry& service, const TokenHost& host,
+                                 Duration took, bool opened) {
   if (TokenPool* pool = hosts_.findPool(host.pool)) {
     pool->underWay.onEnded(now, took);
+    const Duration usual = service.usualTime.timeOf(1.0).value_or(Duration{0});
+    admission_.onEnded(now, host.pool, service.needs(), {service.priority, took, usual, opened});
   }
 }
 
@@ -290,7 +292,7 @@
     TokenHost* host = hosts_.find(request.token);
     if (service != services_.end() && host != nullptr) {
       service->second.usualTime.add(now, request.waited);
-      noteUnderWay(now, *host, request.waited);
+      noteUnderWay(now, service->second, *host, request.waited, false);
       noteSample(now, *host, kOverdueRatio);
     }
   }
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -17,7 +17,7 @@
 #include <utility>
 #include <vector>
 
-#include "common/admission/opening_queue.h"
+#include "common/admission/admission.h"
 #include "common/base/random.h"
 #include "common/config/service.h"
 #include "common/flow/flow_director.h"
@@ -45,6 +45,7 @@
   PlacementOptions placement{};
   ColdHostOptions coldHosts{};
   OpeningLimits openings{};
+  RoomLimits room{};
 };
 
 /** One request's time, for other nodes. */
@@ -113,7 +114,10 @@
    * hosts have appeared. */
   std::vector<std::string> takeReleased(TimePoint now);
   /** @return when takeReleased() may have something to give; none where no opening waits. */
-  std::optional<TimePoint> nextRelease() const { return queue_.nextDue(); }
+  std::optional<TimePoint> nextRelease() const { return admission_.nextDue(); }
+
+  const Admission& admission() const { return admission_; }
+  Admission& admission() { return admission_; }
 
   size_t serviceCount() const { return services_.size(); }
   /** @return hosts that some pool lists. */
@@ -130,7 +134,11 @@
     uint32_t priority = 1;
     /** Callers give a request up after so long; 0: not known. */
     Duration requestTimeout{0};
+    /** Callers want an answer within so long; 0: not known. */
+    Duration targetLatency{0};
     UsualResponseTime usualTime;
+
+    OpeningNeeds needs() const { return {name, priority, requestTimeout, targetLatency}; }
   };
   /** Flows of hosts that a change showed to have ended are to be reset, and packets that waited for
    * hosts that it brought may go on. */
@@ -150,12 +158,14 @@
   /** Notes what the packet tells of its host. @return whether the flow is to be refused, since its
    * host is silent and its caller may repeat the request. */
   bool noteProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
-  /** The caller continues a flow that may have been opened a moment ago. */
-  void noteOpened(TimePoint now, const FlowPacket& packet);
-  /** Learns from the packet how long the host took for its request. */
-  void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
+  /** The caller continues a flow that may have been opened a moment ago. @return whether it was. */
+  bool noteOpened(TimePoint now, const FlowPacket& packet);
+  /** Learns from the packet how long the host took for its request. @param opened it is
+   * the first of its flow. */
+  void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host, bool opened);
   /** A request ended, or waits beyond all measure. */
-  void noteUnderWay(TimePoint now, const TokenHost& host, Duration took);
+  void noteUnderWay(TimePoint now, const ServiceEntry& service, const TokenHost& host,
+                    Duration took, bool opened);
   void noteSample(TimePoint now, TokenHost& host, double ratio);
   void noteSign(TokenHost& host);
   /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
@@ -186,7 +196,7 @@
   TokenHosts hosts_;
   FlowPlacement placement_;
   OpeningWatch openings_;
-  OpeningQueue queue_;
+  Admission admission_;
   /** By hosts that this node does not know yet. */
   HeldPackets awaiting_;
   /** Their hosts are there now. */
--- /dev/null
+++ b/test/common/admission/admission_test.cc
@@ -0,0 +1,199 @@
+/** @file Which openings wait where services of different priority share a pool. */
+#include "common/admission/admission.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace umberhold;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string kPool = "dispatch";
+constexpr uint32_t kUrgent = 1;
+constexpr uint32_t kUsual = 2;
+/** Ten slots: 40 openings by their number. By times, 100 requests: 500 ms of 40 ms, half of them
+ * for a try, less 20 ms. One node has a tenth. */
+const PoolSize kSize{10.0, 10};
+const std::string kBytes = "opening";
+
+OpeningNeeds needsOf(uint32_t priority) {
+  return {priority == kUrgent ? "confirm" : "alert", priority, seconds(3), milliseconds(440)};
+}
+
+}  // namespace
+
+TEST_GROUP(Admission) {
+  Admission admission{OpeningLimits{}, RoomLimits{0.5}};
+  TimePoint now{seconds(1000)};
+  uint64_t flows = 0;
+  PoolSize size = kSize;
+
+  OpeningTurn turnOf(uint64_t flow, uint32_t priority) {
+    return admission.turnOf(now, kPool, needsOf(priority), FlowHash{flow}, kBytes,
+                            [this] { return size; });
+  }
+  /** @return how many openings of a new caller each are placed before one is not. */
+  uint32_t placeAll(uint32_t priority) {
+    uint32_t placed = 0;
+    for (; placed < 100 && turnOf(++flows, priority) == OpeningTurn::kPlace; ++placed) {
+      admission.onPlaced(now, kPool, FlowHash{flows}, priority);
+    }
+    return placed;
+  }
+  void end(uint32_t priority, Duration took, bool opened = false) {
+    admission.onEnded(now, kPool, needsOf(priority),
+                      {priority, took, milliseconds(20), opened});
+  }
+  /** Open flows of the usual service keep the hosts busy; the urgent one has a few requests. */
+  void load(int usualPerSecond, Duration took) {
+    for (int request = 0; request < 5 * usualPerSecond; ++request) {
+      now += std::chrono::microseconds(1000000 / usualPerSecond);
+      end(kUsual, took);
+      if (request % 50 == 0) {
+        end(kUrgent, took, true);
+      }
+    }
+  }
+};
+
+TEST(Admission, WhileThePoolIsCalmNothingIsAsked) {
+  CHECK_TRUE(admission.turnOf(now, kPool, needsOf(kUsual), FlowHash{1}, kBytes, []() -> PoolSize {
+    FAIL("the size was asked for");
+    return {};
+  }) == OpeningTurn::kPlace);
+}
+
+// The load: open flows of the less urgent service fill the hosts, which can't be held back.
+TEST(Admission, OpeningsOfTheLessUrgentServiceGetWhatOpenFlowsLeave) {
+  load(60, milliseconds(150));
+  // 10 of 10 slots x 200 ms / 20 ms / 10 nodes, of which 9 are used.
+  LONGS_EQUAL(1, placeAll(kUsual));
+}
+
+TEST(Admission, TheUrgentServiceFindsRoomBesideThem) {
+  load(60, milliseconds(150));
+  placeAll(kUsual);
+  CHECK_TRUE(placeAll(kUrgent) >= 3);
+}
+
+TEST(Admission, IdleRoomIsLent) {
+  load(20, milliseconds(60));
+  // As many as without shares: four a slot over ten nodes.
+  LONGS_EQUAL(4, placeAll(kUsual));
+}
+
+TEST(Admission, AloneOnAPoolAServiceYieldsToNobody) {
+  for (int request = 0; request < 300; ++request) {
+    now += milliseconds(16);
+    end(kUsual, milliseconds(150));
+  }
+  LONGS_EQUAL(4, placeAll(kUsual));
+}
+
+TEST(Admission, TheLessUrgentServiceIsNeverStarved) {
+  load(60, milliseconds(150));
+  placeAll(kUrgent);
+  LONGS_EQUAL(1, placeAll(kUsual));
+  // Its next one goes as soon as the one under way ends, whatever waits of the urgent service.
+  const size_t waiting = admission.figures(now).front().waiting;
+  CHECK_TRUE(waiting >= 2);
+  now += milliseconds(150);
+  CHECK_FALSE(admission.take(now).empty());
+}
+
+TEST(Admission, WhatCanNotBeInTimeIsRefusedAtOnce) {
+  load(60, milliseconds(430));
+  placeAll(kUsual);
+  CHECK_TRUE(turnOf(++flows, kUsual) == OpeningTurn::kRefuseTooLate);
+  const auto& counters = admission.counters().at({kPool, "alert"});
+  CHECK_TRUE(counters.refusedAtOnce > 0);
+  LONGS_EQUAL(0, counters.refusedAfterWait);
+}
+
+TEST(Admission, NoOpeningIsHeldUntilItIsTooLate) {
+  load(60, milliseconds(150));
+  placeAll(kUsual);
+  CHECK_TRUE(turnOf(++flows, kUsual) == OpeningTurn::kWait);
+  CHECK_TRUE(*admission.nextDue() <= now + milliseconds(150));
+  // (440 - 150 - 20) / 2
+  now += milliseconds(135);
+  admission.take(now);
+  CHECK_TRUE(turnOf(flows, kUsual) != OpeningTurn::kWait);
+}
+
+TEST(Admission, ACopyOfAnOpeningThatWaitsWaitsOnWhateverHostsDoMeanwhile) {
+  load(60, milliseconds(150));
+  placeAll(kUsual);
+  const uint64_t waiting = flows;
+  for (int request = 0; request < 20; ++request) {
+    end(kUsual, seconds(2));
+  }
+  CHECK_TRUE(turnOf(waiting, kUsual) == OpeningTurn::kWait);
+  LONGS_EQUAL(1, admission.counters().at({kPool, "alert"}).waited);
+}
+
+TEST(Admission, WithoutATargetLatencyAllIsAsByTheNumberOfOpenings) {
+  Admission plain{OpeningLimits{}, RoomLimits{}};
+  OpeningNeeds needs = needsOf(kUsual);
+  needs.targetLatency = Duration{0};
+  for (int request = 0; request < 300; ++request) {
+    now += milliseconds(10);
+    plain.onEnded(now, kPool, needs, {kUsual, milliseconds(150), milliseconds(20), false});
+    plain.onEnded(now, kPool, needs, {kUrgent, milliseconds(150), milliseconds(20), true});
+  }
+  uint32_t placed = 0;
+  for (uint64_t flow = 1; flow < 100; ++flow) {
+    if (plain.turnOf(now, kPool, needs, FlowHash{flow}, kBytes, [] { return kSize; }) ==
+        OpeningTurn::kPlace) {
+      plain.onPlaced(now, kPool, FlowHash{flow}, kUsual);
+      ++placed;
+    }
+  }
+  LONGS_EQUAL(4, placed);
+  DOUBLES_EQUAL(0.0, plain.roomOf(now, kPool, kSize).requests, 1e-9);
+}
+
+TEST(Admission, RoomFollowsSlotsThatChangeWhileAllIsFull) {
+  load(60, milliseconds(150));
+  DOUBLES_EQUAL(10.0, admission.roomOf(now, kPool, kSize).own(), 1e-6);
+  // Half of the hosts are gone.
+  size.slots = 5.0;
+  DOUBLES_EQUAL(5.0, admission.roomOf(now, kPool, size).own(), 1e-6);
+  LONGS_EQUAL(1, placeAll(kUsual));
+  // Twice as many come.
+  size.slots = 40.0;
+  CHECK_TRUE(placeAll(kUsual) >= 10);
+}
+
+TEST(Admission, HalfOfTheNodesGoneLeavesTheOthersTwiceTheRoom) {
+  load(60, milliseconds(150));
+  size.sendingNodes = 5;
+  DOUBLES_EQUAL(20.0, admission.roomOf(now, kPool, size).own(), 1e-6);
+  CHECK_TRUE(placeAll(kUsual) >= 5);
+}
+
+TEST(Admission, ANodeThatRestartsWithFlowsOpenLearnsOfThemWithinASecond) {
+  // Nothing is known: the number of openings alone counts.
+  LONGS_EQUAL(4, placeAll(kUsual));
+  now += milliseconds(500);
+  for (int request = 0; request < 120; ++request) {
+    now += milliseconds(16);
+    end(kUsual, milliseconds(150));
+    end(kUrgent, milliseconds(150), true);
+  }
+  LONGS_EQUAL(1, placeAll(kUsual));
+}
+
+TEST(Admission, TellsOfPoolsThatAreShort) {
+  CHECK_TRUE(admission.takeDemands(now).empty());
+  load(60, milliseconds(150));
+  placeAll(kUsual);
+  const auto demands = admission.takeDemands(now);
+  LONGS_EQUAL(1, demands.size());
+  STRCMP_EQUAL(kPool.c_str(), demands.front().pool.c_str());
+  LONGS_EQUAL(1, demands.front().waiting);
+  CHECK_TRUE(demands.front().underWay >= 8);
+  CHECK_FALSE(admission.hasRoom(now, kPool, kSize));
+  CHECK_TRUE(admission.hasRoom(now, "mapstore", kSize));
+}
--- a/test/common/admission/opening_queue_test.cc
+++ b/test/common/admission/opening_queue_test.cc
@@ -76,6 +76,7 @@
   LONGS_EQUAL(1, taken.size());
   STRCMP_EQUAL("4", taken.front().c_str());
   place(4);
+  follow(4, 100, PacketPhase::kContinuing, seconds(10));
   CHECK_TRUE(turnOf(5) == OpeningTurn::kWait);
 }
 
@@ -179,3 +180,49 @@
   }
   CHECK_TRUE(off.isCalm(now, kPool));
 }
+
+TEST(OpeningQueue, OpeningsThatYieldLeaveThePoolToMoreUrgentOnes) {
+  const OpeningClaim yielding{2, 1, 1};
+  queue.onPlaced(now, kPool, FlowHash{1}, 2);
+  CHECK_TRUE(queue.turnOf(now, kPool, kLimit, FlowHash{2}, yielding) == OpeningTurn::kWait);
+  queue.hold(now, {FlowHash{2}, kPool, 2, seconds(3), "2"});
+  CHECK_TRUE(queue.turnOf(now, kPool, kLimit, FlowHash{3}, {1}) == OpeningTurn::kPlace);
+  queue.onPlaced(now, kPool, FlowHash{3}, 1);
+  LONGS_EQUAL(0, queue.take(now).size());
+}
+
+TEST(OpeningQueue, AServiceMayAlwaysHaveItsLeast) {
+  for (uint64_t flow = 1; flow <= kLimit; ++flow) {
+    queue.onPlaced(now, kPool, FlowHash{flow}, 1);
+  }
+  const OpeningClaim yielding{2, 1, 1};
+  CHECK_TRUE(queue.turnOf(now, kPool, kLimit, FlowHash{4}, yielding) == OpeningTurn::kPlace);
+  queue.onPlaced(now, kPool, FlowHash{4}, 2);
+  CHECK_TRUE(queue.turnOf(now, kPool, kLimit, FlowHash{5}, yielding) == OpeningTurn::kWait);
+}
+
+TEST(OpeningQueue, TheLatestGoesFirstOnceTheEarliestWaitedForHalfOfWhatIsUseful) {
+  fill();
+  hangAll();
+  CHECK_TRUE(turnOf(4) == OpeningTurn::kWait);
+  queue.hold(now, {FlowHash{4}, kPool, 1, seconds(3), "4", milliseconds(200)});
+  now += milliseconds(99);
+  queue.hold(now, {FlowHash{5}, kPool, 1, seconds(3), "5", milliseconds(200)});
+  queue.hold(now, {FlowHash{6}, kPool, 1, seconds(3), "6", milliseconds(200)});
+  answer(1);
+  auto taken = queue.take(now);
+  LONGS_EQUAL(1, taken.size());
+  STRCMP_EQUAL("4", taken.front().c_str());
+  place(4);
+  follow(4, 100, PacketPhase::kContinuing, seconds(10));
+  now += milliseconds(100);
+  answer(2);
+  taken = queue.take(now);
+  LONGS_EQUAL(1, taken.size());
+  STRCMP_EQUAL("6", taken.front().c_str());
+  place(6);
+  follow(6, 100, PacketPhase::kContinuing, seconds(10));
+  now += milliseconds(100);
+  LONGS_EQUAL(1, queue.take(now).size());
+  CHECK_TRUE(turnOf(5) == OpeningTurn::kRefuse);
+}
--- /dev/null
+++ b/test/common/admission/pool_use_test.cc
@@ -0,0 +1,52 @@
+/** @file What a node's callers use of a pool. */
+#include "common/admission/pool_use.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace umberhold;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(PoolUse) {
+  PoolUse use;
+  TimePoint now{seconds(1000)};
+
+  /** So many requests a second, of 100 ms each, for five seconds. */
+  void load(uint32_t priority, int perSecond, bool opened = false) {
+    for (int request = 0; request < 5 * perSecond; ++request) {
+      now += milliseconds(1000 / perSecond);
+      use.onEnded(now, {priority, milliseconds(100), milliseconds(40), opened});
+    }
+  }
+};
+
+TEST(PoolUse, CountsByLittlesLaw) {
+  load(1, 20);
+  DOUBLES_EQUAL(2.0, use.underWay(now), 0.2);
+  DOUBLES_EQUAL(2.0, use.onOpenFlows(now), 0.2);
+  CHECK_TRUE(use.work(now) == milliseconds(40));
+}
+
+TEST(PoolUse, FirstRequestsOfFlowsAreNotOnOpenFlows) {
+  load(1, 20, true);
+  DOUBLES_EQUAL(2.0, use.underWay(now), 0.2);
+  DOUBLES_EQUAL(0.0, use.onOpenFlows(now), 1e-9);
+}
+
+TEST(PoolUse, KnowsWhatMoreUrgentServicesUse) {
+  CHECK_FALSE(use.hasMoreUrgent(now, 2));
+  load(1, 20);
+  CHECK_TRUE(use.hasMoreUrgent(now, 2));
+  CHECK_FALSE(use.hasMoreUrgent(now, 1));
+  DOUBLES_EQUAL(2.0, use.moreUrgent(now, 2), 0.2);
+  DOUBLES_EQUAL(0.0, use.moreUrgent(now, 1), 1e-9);
+  now += seconds(11);
+  CHECK_FALSE(use.hasMoreUrgent(now, 2));
+}
+
+TEST(PoolUse, ForgetsWhatWasLongAgo) {
+  load(1, 20);
+  now += seconds(10);
+  DOUBLES_EQUAL(0.0, use.underWay(now), 0.01);
+  CHECK_TRUE(use.work(now) == Duration{0});
+}
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -35,6 +35,7 @@
 full_zone_load = 0.5
 openings_per_slot = 2.5
 opening_wait_part = 0.25
+host_time_part = 0.4
 )";
 
 std::string with(const std::string& from, const std::string& to) {
@@ -61,6 +62,7 @@
   CHECK_FALSE(read.sharesObservations);
   CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0, 0.5}));
   CHECK_TRUE(read.openings == (OpeningLimits{2.5, 0.25}));
+  CHECK_TRUE(read.room == RoomLimits{0.4});
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
   STRCMP_EQUAL("bole", read.zone.c_str());
--- a/test/common/token/token_director_waiting_test.cc
+++ b/test/common/token/token_director_waiting_test.cc
@@ -31,7 +31,7 @@
     addService(kUrgent, 1);
     setHosts(1);
   }
-  void addService(const std::string& name, uint32_t priority) {
+  void addService(const std::string& name, uint32_t priority, uint32_t targetLatency = 0) {
     Service service;
     service.name = name;
     service.address = priority;
@@ -39,6 +39,7 @@
     service.groups = {{"dispatch", 1}};
     service.priority = priority;
     service.requestTimeoutMilliseconds = 1200;
+    service.targetLatencyMilliseconds = targetLatency;
     director.setService(service);
   }
   void setHosts(uint32_t slots, uint64_t count = 2) {
@@ -79,6 +80,22 @@
     made.acknowledged = acknowledged;
     CHECK_TRUE(std::holds_alternative<ForwardToHost>(director.decide(now, made, "")));
   }
+  /** A request of 100 ms on an open flow. */
+  void serve(const std::string& service, uint64_t flow, uint32_t token, uint32_t request) {
+    FlowPacket made = packet(service, flow, PacketPhase::kContinuing);
+    made.token = token;
+    made.sequence = 1 + 10 * (request - 1);
+    made.acknowledged = 1 + 100 * (request - 1);
+    made.dataBytes = 10;
+    director.decide(now, made, "");
+    director.onCaughtUp(now);
+    now += milliseconds(100);
+    made.sequence += 10;
+    made.acknowledged += 100;
+    made.dataBytes = 0;
+    director.decide(now, made, "");
+    director.onCaughtUp(now);
+  }
   void fill() {
     for (uint64_t flow = 1; flow <= kLimit; ++flow) {
       const uint32_t token = openAtHost(kUsual, flow);
@@ -87,6 +104,23 @@
   }
 };
 
+// The load: flows that stay open bring requests that no node may hold back.
+TEST(TokenDirectorWaiting, TheLessUrgentServiceWaitsForWhatItsOpenFlowsUse) {
+  addService(kUsual, 2, 500);
+  addService(kUrgent, 1, 500);
+  const uint32_t usual = openAtHost(kUsual, 1);
+  const uint32_t urgent = openAtHost(kUrgent, 2);
+  for (uint32_t request = 1; request <= 100; ++request) {
+    serve(kUsual, 1, usual, request);
+    serve(kUrgent, 2, urgent, request);
+  }
+  // Two slots, a third of 500 ms for tries of 100 ms: hardly more than the two that are under way.
+  openAtHost(kUsual, 10);
+  CHECK_TRUE(std::holds_alternative<HoldPacket>(open(kUsual, 11)));
+  openAtHost(kUrgent, 20);
+  openAtHost(kUrgent, 21);
+}
+
 TEST(TokenDirectorWaiting, WhatHostsCanNotBeginToWorkOnWaits) {
   fill();
   CHECK_TRUE(std::holds_alternative<HoldPacket>(open(kUsual, 20)));
