--- a/source/common/admission/admission.cc
+++ b/source/common/admission/admission.cc
@@ -22,7 +22,7 @@
   const Pool* state = known(pool);
   const bool mayYield = limits_.hostTimePart > 0.0 && needs.targetLatency > Duration{0} &&
                         state != nullptr && state->use.onOpenFlows(now) >= kCalmUse &&
-                        state->use.hasMoreUrgent(now, needs.priority);
+                        state->use.yields(now, needs.priority);
   return !mayYield && queue_.isCalm(now, pool);
 }
 
@@ -77,8 +77,8 @@
     return claim;
   }
   claim.least = 1;
-  if (room.requests > 0.0 && state.use.hasMoreUrgent(now, needs.priority)) {
-    claim.limit = yieldingOpenings({room, state.use.onOpenFlows(now)});
+  if (room.requests > 0.0 && state.use.yields(now, needs.priority)) {
+    claim.limit = yieldingOpenings({room, state.use.onOpenFlows(now, needs.priority)});
   }
   return claim;
 }
--- a/source/common/admission/pool_use.cc
+++ b/source/common/admission/pool_use.cc
@@ -1,20 +1,22 @@
 #include "common/admission/pool_use.h"
 
+#include <limits>
+
 namespace umberhold {
 namespace {
 
-/** A service counts as in use for so long after its last request: a node of a large fleet sees few
- * of each service. */
-constexpr Duration kInUse = std::chrono::seconds(10);
+/** Part of the requests under way that more urgent services have, from which on others yield. A
+ * service with hardly any requests needs no room: with one of a hundredth of the requests, the usual
+ * ones got a single place in each node while hosts had idle slots. */
+constexpr double kNeedsRoom = 0.05;
 
 }  // namespace
 
 void PoolUse::onEnded(TimePoint now, const EndedRequest& request) {
   Level& level = levels_[request.priority];
   level.requests.onEnded(now, request.took);
-  level.lastAt = now;
   if (!request.opened) {
-    onOpenFlows_.onEnded(now, request.took);
+    level.onOpenFlows.onEnded(now, request.took);
   }
   if (request.usual > Duration{0}) {
     work_.add(now, request.usual);
@@ -37,13 +39,21 @@
   return sum;
 }
 
-bool PoolUse::hasMoreUrgent(TimePoint now, uint32_t priority) const {
-  for (auto level = levels_.begin(); level != levels_.end() && level->first < priority; ++level) {
-    if (now - level->second.lastAt < kInUse) {
-      return true;
-    }
+double PoolUse::onOpenFlows(TimePoint now) const {
+  return onOpenFlows(now, std::numeric_limits<uint32_t>::max());
+}
+
+double PoolUse::onOpenFlows(TimePoint now, uint32_t priority) const {
+  double sum = 0.0;
+  for (auto level = levels_.begin(); level != levels_.end() && level->first <= priority; ++level) {
+    sum += level->second.onOpenFlows.value(now);
   }
-  return false;
+  return sum;
+}
+
+bool PoolUse::yields(TimePoint now, uint32_t priority) const {
+  const double urgent = moreUrgent(now, priority);
+  return urgent > 0.0 && urgent >= kNeedsRoom * underWay(now);
 }
 
 }  // namespace umberhold
--- a/source/common/admission/pool_use.h
+++ b/source/common/admission/pool_use.h
@@ -49,23 +49,24 @@
  public:
   void onEnded(TimePoint now, const EndedRequest& request);
   /** @return requests under way on flows that have had an answer. */
-  double onOpenFlows(TimePoint now) const { return onOpenFlows_.value(now); }
+  double onOpenFlows(TimePoint now) const;
+  /** @return those of services that are as urgent or more. */
+  double onOpenFlows(TimePoint now, uint32_t priority) const;
   /** @return all that are under way, at this node's measure. */
   double underWay(TimePoint now) const;
   /** @return those of services that are more urgent. */
   double moreUrgent(TimePoint now, uint32_t priority) const;
-  /** @return whether a more urgent service had requests of late. */
-  bool hasMoreUrgent(TimePoint now, uint32_t priority) const;
+  /** @return whether more urgent services use enough of the pool for others to yield to them. */
+  bool yields(TimePoint now, uint32_t priority) const;
   /** @return what a request usually takes, over the services that use the pool; 0: not known. */
   Duration work(TimePoint now) const { return work_.value(now).value_or(Duration{0}); }
 
  private:
   struct Level {
     RequestsUnderWay requests;
-    TimePoint lastAt{};
+    RequestsUnderWay onOpenFlows;
   };
 
-  RequestsUnderWay onOpenFlows_;
   std::map<uint32_t, Level> levels_;
   TimeOfLate work_;
 };
--- a/source/common/admission/room_limits.h
+++ b/source/common/admission/room_limits.h
@@ -38,8 +38,8 @@
 /** How much of a pool's room is in use, at one node. */
 struct RoomUse {
   PoolRoom room;
-  /** Requests under way on flows that have had an answer, on average of late: they can't be held
-   * back. */
+  /** Requests under way on flows that have had an answer, of services as urgent or more, on average
+   * of late: they can't be held back. */
   double onOpenFlows = 0.0;
 };
 
