--- a/source/common/overflow/split_overflow.cc
+++ b/source/common/overflow/split_overflow.cc
@@ -17,13 +17,13 @@
  */
 constexpr double kSpareRequestsPerSlot = 2.0;
 
-double usedPart(const PoolUse& use) {
+double usedPart(const PartUse& use) {
   return (use.openings + 1.0) / use.openingLimit;
 }
 
 }  // namespace
 
-bool SplitOverflow::hasSpareRoom(const PoolUse& use) {
+bool SplitOverflow::hasSpareRoom(const PartUse& use) {
   return use.known && use.openingLimit > 0.0 && usedPart(use) <= kSpareOpenings &&
          use.requests <= kSpareRequestsPerSlot * use.slots;
 }
--- a/source/common/overflow/split_overflow.h
+++ b/source/common/overflow/split_overflow.h
@@ -26,7 +26,7 @@
 namespace umberhold {
 
 /** The load that this node has brought to a pool, against what it may bring. */
-struct PoolUse {
+struct PartUse {
   /** Whether the pool's room is known; nothing overflows into a pool of unknown room. */
   bool known = false;
   /** Openings of this node under way at its hosts, and those that wait for it. */
@@ -43,7 +43,7 @@
 struct SplitPart {
   /** Its part of the new flows, 0 to 1. */
   double weight = 0.0;
-  PoolUse use;
+  PartUse use;
 };
 
 /** Of one split at one node. Decision logic without I/O; not thread safe. */
@@ -63,7 +63,7 @@
   std::optional<size_t> choose(const std::vector<SplitPart>& parts, size_t due);
 
   /** @return whether the pool can take an opening more without its own callers having to wait. */
-  static bool hasSpareRoom(const PoolUse& use);
+  static bool hasSpareRoom(const PartUse& use);
   /**
    * @param weight of the part that takes them.
    * @return part of the openings due to other parts that may overflow into it, 0 to 1.
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -60,7 +60,8 @@
 TokenOptions optionsOf(const TokenNodeSettings& settings) {
   return {settings.zone,      std::chrono::seconds(settings.flowLifeSeconds),
           settings.placement, settings.coldHosts,
-          settings.openings,  settings.overflow};
+          settings.openings,  settings.overflow,
+          settings.room};
 }
 
 }  // namespace
@@ -324,6 +325,7 @@
         director.listedHostCount(),
         evacuatedZones.zones.size(),
         director.coldHostCount(steadyNow()),
+        director.admission(),
         path.counters(),
         port->counters(),
         flowLog.counters(),
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -19,6 +19,7 @@
 constexpr double kLongestWaitPart = 1.0;
 /** Of the new flows of a split. */
 constexpr double kWholeSplit = 1.0;
+constexpr double kLongestHostTimePart = 1.0;
 /** Beyond every ratio of answers' times. */
 constexpr double kHighestRatio = 1000.0;
 
@@ -201,6 +202,7 @@
     reader.fraction("opening_wait_part", settings.openings.longestWaitPart, kLongestWaitPart, true);
     reader.overflowMode("overflow", settings.overflow.mode);
     reader.fraction("overflow_part", settings.overflow.mostPart, kWholeSplit, true);
+    reader.fraction("host_time_part", settings.room.hostTimePart, kLongestHostTimePart, true);
     reader.fraction("cold_rate_factor", settings.coldHosts.rateFactor, kHighestRatio, true);
     reader.fraction("cold_rate_allowance", settings.coldHosts.rateAllowance, kHighestRatio, true);
     reader.refuseOtherKeys();
@@ -266,6 +268,9 @@
   };
   compareOverflow("overflow", &OverflowOptions::mode);
   compareOverflow("overflow_part", &OverflowOptions::mostPart);
+  if (before.room != after.room) {
+    changes.push_back({"host_time_part", false});
+  }
   const auto compareCold = [&](const char* key, auto member) {
     if (before.coldHosts.*member != after.coldHosts.*member) {
       changes.push_back({key, false});
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/admission/opening_queue.h"
+#include "common/admission/room_limits.h"
 #include "common/base/endpoint.h"
 #include "common/base/result.h"
 #include "common/overflow/overflow_options.h"
@@ -64,6 +65,8 @@
   OpeningLimits openings{};
   /** When a flow may leave the part of its split that it is due to. */
   OverflowOptions overflow{};
+  /** How far services with a target latency are held back by times. */
+  RoomLimits room{};
 };
 
 /** A key whose value differs between two settings. */
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -42,7 +42,7 @@
       overflow_(options.overflow),
       hosts_(options.flowLife),
       placement_(zone_, options.placement, random),
-      queue_(options.openings),
+      admission_(options.openings, options.room),
       deadHostFlows_(options.flowLife) {}
 
 std::vector<HostChange> TokenDirector::setPool(TimePoint now, const HostPool& pool,
@@ -62,6 +62,7 @@
 std::vector<HostChange> TokenDirector::removePool(TimePoint now, const std::string& name,
                                                   uint64_t version) {
   std::vector<HostChange> changes = hosts_.removePool(now, name, version);
+  admission_.removePool(name);
   noteChanges(now, changes);
   return changes;
 }
@@ -124,6 +125,7 @@
   entry.repeatable = service.repeatable;
   entry.priority = service.priority;
   entry.requestTimeout = std::chrono::milliseconds(service.requestTimeoutMilliseconds);
+  entry.targetLatency = std::chrono::milliseconds(service.targetLatencyMilliseconds);
   entry.groups = GroupShares(service.groups, random_);
   entry.overflow = SplitOverflow(overflow_, random_);
   listeners_[entry.listen] = id;
@@ -163,6 +165,9 @@
   if (queued.turn == OpeningTurn::kRefuse) {
     return RefuseFlow{RefusalReason::kHostsBusy};
   }
+  if (queued.turn == OpeningTurn::kRefuseTooLate) {
+    return RefuseFlow{RefusalReason::kTooLate};
+  }
   TokenHost* host = queued.pool.empty() ? place(now, service->second, avoided)
                                         : placeAt(now, service->second, queued);
   if (host == nullptr) {
@@ -172,7 +177,7 @@
   host->estimate.onOpening(now);
   host->cold.onPlaced(now);
   openings_.onPlaced(now, packet.hash, host->token);
-  queue_.onPlaced(now, host->pool, packet.hash);
+  admission_.onPlaced(now, host->pool, packet.hash, service->second.priority);
   ForwardToHost decision = forward(*host);
   decision.placement = &placement_.evidence();
   return decision;
@@ -187,24 +192,16 @@
   if (pool == nullptr) {
     return {};
   }
-  QueuedOpening placed{OpeningTurn::kPlace, waited == nullptr ? std::string{} : *waited, {}};
-  if (queue_.isCalm(now, *due)) {
-    return placed;
-  }
-  const double slots = placement_.usableSlots(now, *pool);
-  if (slots == 0.0) {
-    return placed;  // Nothing is known, or there is nothing to wait for.
-  }
-  const uint32_t limit = queue_.limitOf(slots, sendingNodes(*pool));
-  const OpeningTurn turn = queue_.turnOf(now, *due, limit, packet.hash);
+  const OpeningTurn turn = admission_.turnOf(now, *due, service.needs(), packet.hash,
+                                             [&] { return sizeOf(now, *pool); });
   if (turn == OpeningTurn::kPlace) {
-    return placed;
+    return {turn, waited == nullptr ? std::string{} : *waited, {}};
   }
-  if (turn == OpeningTurn::kRefuse) {
+  if (turn != OpeningTurn::kWait) {
     return {turn, {}, {}};
   }
   // A copy of an opening that waits would be placed twice.
-  if (!queue_.isWaiting(packet.hash)) {
+  if (!admission_.isWaiting(packet.hash)) {
     const std::string* other = overflowPool(now, service, *due);
     // The turn is taken now: openings after this one are due to the other parts of the split too,
     // however long this one waits, and a part without room is owed nothing later.
@@ -213,13 +210,16 @@
       return {OpeningTurn::kPlace, *other, *due};
     }
   }
-  queue_.hold(now, {packet.hash, *due, service.priority, service.requestTimeout, bytes});
-  return {turn, {}, {}};
+  return {admission_.hold(now, *due, service.needs(), packet.hash, bytes), {}, {}};
+}
+
+PoolSize TokenDirector::sizeOf(TimePoint now, const TokenPool& pool) {
+  return {placement_.usableSlots(now, pool), sendingNodes(pool)};
 }
 
 const std::string* TokenDirector::waitedFor(const ServiceEntry& service,
                                             const FlowPacket& packet) const {
-  const std::string* pool = queue_.poolOf(packet.hash);
+  const std::string* pool = admission_.poolOf(packet.hash);
   const auto index = pool == nullptr ? std::nullopt : service.groups.indexOf(*pool);
   return index ? &service.groups.pools()[*index] : nullptr;
 }
@@ -240,16 +240,15 @@
   return chosen ? &pools[*chosen] : nullptr;
 }
 
-PoolUse TokenDirector::useOf(TimePoint now, const std::string& pool) {
+PartUse TokenDirector::useOf(TimePoint now, const std::string& pool) {
   const TokenPool* entry = hosts_.findPool(pool);
-  const double slots = entry == nullptr ? 0.0 : placement_.usableSlots(now, *entry);
-  if (slots == 0.0) {
+  const PoolSize size = entry == nullptr ? PoolSize{} : sizeOf(now, *entry);
+  if (size.slots == 0.0) {
     return {};
   }
-  const uint32_t nodes = std::max(sendingNodes(*entry), 1U);
-  return {true, static_cast<double>(queue_.openingsOf(now, pool)),
-          static_cast<double>(queue_.limitOf(slots, nodes)), entry->underWay.value(now),
-          slots / nodes};
+  const OpeningUse openings = admission_.openingsAt(now, pool, size);
+  return {true, openings.openings, openings.limit, entry->underWay.value(now),
+          size.slots / std::max(size.sendingNodes, 1U)};
 }
 
 uint32_t TokenDirector::sendingNodes(const TokenPool& pool) const {
@@ -262,7 +261,7 @@
 
 std::vector<std::string> TokenDirector::takeReleased(TimePoint now) {
   std::vector<std::string> released = std::exchange(arrived_, {});
-  for (std::string& bytes : queue_.take(now)) {
+  for (std::string& bytes : admission_.take(now)) {
     released.push_back(std::move(bytes));
   }
   return released;
@@ -293,8 +292,8 @@
     noteAnswered(now, *host);
   }
   deadHostFlows_.note(now, packet);
-  noteOpened(now, packet);
-  noteResponse(now, packet, *host);
+  const bool opened = noteOpened(now, packet);
+  noteResponse(now, packet, *host, opened);
   const bool isLost = noteProgress(now, packet, *host);
   const bool isSentInVain =
       packet.dataBytes > 0 && host->isDead(now) && isRepeatable(packet.service);
@@ -305,14 +304,15 @@
   return forward(*host);
 }
 
-void TokenDirector::noteOpened(TimePoint now, const FlowPacket& packet) {
+bool TokenDirector::noteOpened(TimePoint now, const FlowPacket& packet) {
   const auto service = services_.find(packet.service);
-  queue_.onFollowed(
+  return admission_.onFollowed(
       now, packet,
       service == services_.end() ? std::nullopt : service->second.usualTime.timeOf(kOverdueRatio));
 }
 
-void TokenDirector::noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host) {
+void TokenDirector::noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host,
+                                 bool opened) {
   const auto service = services_.find(packet.service);
   if (service == services_.end()) {
     return;
@@ -322,7 +322,7 @@
   if (!response) {
     return;
   }
-  noteUnderWay(now, host, *response);
+  noteUnderWay(now, service->second, host, *response, opened);
   const auto ratio = usualTime.ratioOf(*response);
   usualTime.add(now, *response);
   if (ratio) {
@@ -330,9 +330,12 @@
   }
 }
 
-void TokenDirector::noteUnderWay(TimePoint now, const TokenHost& host, Duration took) {
+void TokenDirector::noteUnderWay(TimePoint now, const ServiceEntry& service, const TokenHost& host,
+                                 Duration took, bool opened) {
   if (TokenPool* pool = hosts_.findPool(host.pool)) {
     pool->underWay.onEnded(now, took);
+    const Duration usual = service.usualTime.timeOf(1.0).value_or(Duration{0});
+    admission_.onEnded(now, host.pool, service.needs(), {service.priority, took, usual, opened});
   }
 }
 
@@ -348,7 +351,7 @@
     TokenHost* host = hosts_.find(request.token);
     if (service != services_.end() && host != nullptr) {
       service->second.usualTime.add(now, request.waited);
-      noteUnderWay(now, *host, request.waited);
+      noteUnderWay(now, service->second, *host, request.waited, false);
       noteSample(now, *host, kOverdueRatio);
     }
   }
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -17,7 +17,7 @@
 #include <utility>
 #include <vector>
 
-#include "common/admission/opening_queue.h"
+#include "common/admission/admission.h"
 #include "common/base/random.h"
 #include "common/config/service.h"
 #include "common/flow/flow_director.h"
@@ -48,6 +48,7 @@
   OpeningLimits openings{};
   /** When a flow may leave the part of its split that it is due to. */
   OverflowOptions overflow{};
+  RoomLimits room{};
 };
 
 /** One request's time, for other nodes. */
@@ -116,7 +117,10 @@
    * hosts have appeared. */
   std::vector<std::string> takeReleased(TimePoint now);
   /** @return when takeReleased() may have something to give; none where no opening waits. */
-  std::optional<TimePoint> nextRelease() const { return queue_.nextDue(); }
+  std::optional<TimePoint> nextRelease() const { return admission_.nextDue(); }
+
+  const Admission& admission() const { return admission_; }
+  Admission& admission() { return admission_; }
 
   size_t serviceCount() const { return services_.size(); }
   /** @return hosts that some pool lists. */
@@ -134,7 +138,11 @@
     uint32_t priority = 1;
     /** Callers give a request up after so long; 0: not known. */
     Duration requestTimeout{0};
+    /** Callers want an answer within so long; 0: not known. */
+    Duration targetLatency{0};
     UsualResponseTime usualTime;
+
+    OpeningNeeds needs() const { return {name, priority, requestTimeout, targetLatency}; }
   };
   /** Flows of hosts that a change showed to have ended are to be reset, and packets that waited for
    * hosts that it brought may go on. */
@@ -160,8 +168,9 @@
   /** The pool that is due has no room. @return the one that takes the flow instead; nullptr: none.
    */
   const std::string* overflowPool(TimePoint now, ServiceEntry& service, const std::string& due);
+  PoolSize sizeOf(TimePoint now, const TokenPool& pool);
   /** @return what this node has at the pool, against what it may have there. */
-  PoolUse useOf(TimePoint now, const std::string& pool);
+  PartUse useOf(TimePoint now, const std::string& pool);
   /** @return nodes that send flows to the pool: zones are taken to have as many as this one. */
   uint32_t sendingNodes(const TokenPool& pool) const;
   FlowDecision follow(TimePoint now, const FlowPacket& packet, std::string_view bytes);
@@ -171,12 +180,14 @@
   /** Notes what the packet tells of its host. @return whether the flow is to be refused, since its
    * host is silent and its caller may repeat the request. */
   bool noteProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
-  /** The caller continues a flow that may have been opened a moment ago. */
-  void noteOpened(TimePoint now, const FlowPacket& packet);
-  /** Learns from the packet how long the host took for its request. */
-  void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
+  /** The caller continues a flow that may have been opened a moment ago. @return whether it was. */
+  bool noteOpened(TimePoint now, const FlowPacket& packet);
+  /** Learns from the packet how long the host took for its request. @param opened it is
+   * the first of its flow. */
+  void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host, bool opened);
   /** A request ended, or waits beyond all measure. */
-  void noteUnderWay(TimePoint now, const TokenHost& host, Duration took);
+  void noteUnderWay(TimePoint now, const ServiceEntry& service, const TokenHost& host,
+                    Duration took, bool opened);
   void noteSample(TimePoint now, TokenHost& host, double ratio);
   void noteSign(TokenHost& host);
   /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
@@ -210,7 +221,7 @@
   TokenHosts hosts_;
   FlowPlacement placement_;
   OpeningWatch openings_;
-  OpeningQueue queue_;
+  Admission admission_;
   /** By hosts that this node does not know yet. */
   HeldPackets awaiting_;
   /** Their hosts are there now. */
--- a/test/common/overflow/split_overflow_property.cc
+++ b/test/common/overflow/split_overflow_property.cc
@@ -139,8 +139,8 @@
   constexpr size_t kNodes = 59;
   constexpr size_t kFlows = 200;
   constexpr double kMostOff = 0.2;
-  const PoolUse full{true, 10.0, 10.0, 0.0, 2.0};
-  const PoolUse spare{true, 0.0, 10.0, 0.0, 2.0};
+  const PartUse full{true, 10.0, 10.0, 0.0, 2.0};
+  const PartUse spare{true, 0.0, 10.0, 0.0, 2.0};
   const std::vector<SplitPart> parts = {{0.5, full}, {0.5, spare}};
   constexpr size_t kRounds = 1000;
   RandomSource random{7};
--- a/test/common/overflow/split_overflow_test.cc
+++ b/test/common/overflow/split_overflow_test.cc
@@ -8,8 +8,8 @@
 namespace {
 
 /** Half of its limit is left, and more. */
-const PoolUse kSpare{true, 1.0, 10.0, 0.0, 2.0};
-const PoolUse kFull{true, 10.0, 10.0, 2.0, 2.0};
+const PartUse kSpare{true, 1.0, 10.0, 0.0, 2.0};
+const PartUse kFull{true, 10.0, 10.0, 2.0, 2.0};
 
 }  // namespace
 
@@ -38,7 +38,7 @@
 
 TEST(SplitOverflow, OfTwoPartsTheLessUsedOneTakesIt) {
   SplitOverflow overflow = unbounded();
-  PoolUse idle = kSpare;
+  PartUse idle = kSpare;
   idle.openings = 0.0;
   const std::vector<SplitPart> parts = {{0.2, kFull}, {0.4, kSpare}, {0.4, idle}};
   for (int opening = 0; opening < 100; ++opening) {
@@ -59,11 +59,11 @@
 
 TEST(SplitOverflow, APoolOfUnknownRoomTakesNothing) {
   SplitOverflow overflow = unbounded();
-  LONGS_EQUAL(0, overflows(overflow, {{0.5, kFull}, {0.5, PoolUse{}}}, 100));
+  LONGS_EQUAL(0, overflows(overflow, {{0.5, kFull}, {0.5, PartUse{}}}, 100));
 }
 
 TEST(SplitOverflow, HalfOfTheOpeningsAreLeftToThePoolsOwnCallers) {
-  PoolUse use = kSpare;
+  PartUse use = kSpare;
   use.openings = 4.0;
   CHECK_TRUE(SplitOverflow::hasSpareRoom(use));
   use.openings = 5.0;
@@ -76,7 +76,7 @@
 }
 
 TEST(SplitOverflow, HostsThatAreBusyWithOpenFlowsHaveNoRoom) {
-  PoolUse use = kSpare;
+  PartUse use = kSpare;
   use.requests = 4.0;
   CHECK_TRUE(SplitOverflow::hasSpareRoom(use));
   use.requests = 4.1;
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -37,6 +37,7 @@
 opening_wait_part = 0.25
 overflow = "repeatable"
 overflow_part = 0.1
+host_time_part = 0.4
 )";
 
 std::string with(const std::string& from, const std::string& to) {
@@ -64,6 +65,7 @@
   CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0, 0.5}));
   CHECK_TRUE(read.openings == (OpeningLimits{2.5, 0.25}));
   CHECK_TRUE(read.overflow == (OverflowOptions{OverflowMode::kRepeatable, 0.1}));
+  CHECK_TRUE(read.room == RoomLimits{0.4});
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
   STRCMP_EQUAL("bole", read.zone.c_str());
