Learn the speed of each host in a zone and place new flows by it

Cause: a node gives each host the same number of flows, whatever its speed; times below 1.2 times the median are not weighed, and with two slow hosts of three the median is a slow one. Change: nodes time the work of requests (the network's time left out, only while the pool has free slots), the zone's reader learns each host's speed from all reports, and weight and a zone's room count times the speed; answers are scored by what the speed lets expect. Setting learn_speeds.

--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -72,6 +72,8 @@
   /** The host's load by this node's own packets, in packets of late. */
   double load = 0.0;
   uint32_t weight = 0;
+  /** Work of the host in the same time, as a multiple of the usual, as learnt; 1: not known. */
+  double speed = 1.0;
   /** Hosts that could have taken the flow. */
   uint32_t candidates = 0;
   /** Version of the catalogue that the pool is from, and when this node applied it. */
--- a/source/common/health/host_observations.cc
+++ b/source/common/health/host_observations.cc
@@ -15,16 +15,26 @@
 /** Hosts with a lower score are left out of answers. */
 constexpr double kLateScore = 1.5;
 constexpr size_t kFewestReporters = 2;
+/** In an answer. */
+constexpr size_t kStandingBytes = 12;
+constexpr size_t kSpeedBytes = 10;
 constexpr double kPercent = 100.0;
 constexpr uint32_t kHighestPercent =
     static_cast<uint32_t>(ResponseScore::kHighestSample * kPercent);
+constexpr uint32_t kHighestWorkPercent = static_cast<uint32_t>(kMostWorkRatio * kPercent);
 
 bool isValid(const HostObservation& seen) {
-  return seen.requests > 0 && seen.percentOfUsual <= kHighestPercent;
+  return seen.requests > 0 && seen.percentOfUsual <= kHighestPercent &&
+         seen.workPercent <= kHighestWorkPercent;
 }
 
 }  // namespace
 
+size_t mostSpeedsBeside(size_t standings) {
+  const size_t left = kMostStandings - std::min(standings, kMostStandings);
+  return std::min(kMostLearnedSpeeds, left * kStandingBytes / kSpeedBytes);
+}
+
 std::string_view toString(ReportOutcome outcome) {
   switch (outcome) {
     case ReportOutcome::kTaken:
@@ -49,6 +59,10 @@
     Sum& sum = sums_[sample.token];
     ++sum.requests;
     sum.ratios += std::min(sample.ratio, ResponseScore::kHighestSample);
+    if (sample.workRatio) {
+      ++sum.works;
+      sum.workRatios += std::log(std::clamp(*sample.workRatio, kLeastWorkRatio, kMostWorkRatio));
+    }
   }
 }
 
@@ -58,8 +72,10 @@
   report.sequence = static_cast<uint64_t>(now.time_since_epoch().count());
   for (const auto& [token, sum] : sums_) {
     const double mean = sum.ratios / sum.requests;
-    report.hosts.push_back(
-        {token, sum.requests, static_cast<uint32_t>(std::lround(mean * kPercent))});
+    const double work = sum.works == 0 ? 0.0 : std::exp(sum.workRatios / sum.works);
+    report.hosts.push_back({token, sum.requests,
+                            static_cast<uint32_t>(std::lround(mean * kPercent)),
+                            static_cast<uint32_t>(std::lround(work * kPercent))});
   }
   sums_.clear();
   return report;
@@ -80,6 +96,7 @@
   reporter = {report.sequence, now};
   for (const HostObservation& seen : report.hosts) {
     note(hosts_[seen.token], {report.reporter, now, seen.percentOfUsual / kPercent});
+    speeds_.add(now, report.reporter, seen.token, seen.workPercent, seen.requests);
   }
   return ReportOutcome::kTaken;
 }
--- a/source/common/health/host_observations.h
+++ b/source/common/health/host_observations.h
@@ -16,15 +16,21 @@
 
 #include "common/base/time.h"
 #include "common/messages/peer_messages.h"
+#include "common/speed/speed_learner.h"
 #include "common/token/token_director.h"
 
 namespace umberhold {
 
-/** Hosts in one report, 10 bytes each; of more, those that were seen last are left out. Both bounds
+/** Hosts in one report, 13 bytes each; of more, those that were seen last are left out. Both bounds
  * together keep polls of 0.6 s below 2.7 KB/s. */
 constexpr size_t kMostReportedHosts = 48;
 /** Hosts in one answer, 12 bytes each, the latest first. */
 constexpr size_t kMostStandings = 80;
+/** Speeds in one answer, 10 bytes each. */
+constexpr size_t kMostLearnedSpeeds = 60;
+/** @return speeds in an answer beside so many standings: both together take no more bytes than
+ * kMostStandings do. */
+size_t mostSpeedsBeside(size_t standings);
 
 /** Gathers a node's own samples until its next report. Not thread safe. */
 class SampleGatherer {
@@ -39,6 +45,9 @@
   struct Sum {
     uint32_t requests = 0;
     double ratios = 0.0;
+    uint32_t works = 0;
+    /** Natural logarithms. */
+    double workRatios = 0.0;
   };
 
   const uint64_t reporter_;
@@ -70,6 +79,8 @@
    * node ejects no host alone.
    */
   std::vector<HostStanding> standings(TimePoint now);
+  /** @return how fast hosts are, `most` of them at most; see SpeedLearner. */
+  std::vector<LearnedSpeed> speeds(TimePoint now, size_t most) { return speeds_.speeds(now, most); }
 
  private:
   struct Observation {
@@ -91,6 +102,7 @@
 
   std::unordered_map<uint32_t, Observations> hosts_;
   std::unordered_map<uint64_t, Reporter> reporters_;
+  SpeedLearner speeds_;
 };
 
 }  // namespace umberhold
--- a/source/common/health/observation_exchange.cc
+++ b/source/common/health/observation_exchange.cc
@@ -65,7 +65,9 @@
 }
 
 ZoneNews ObservationExchange::newsNow(TimePoint now) {
-  return {zone_.standings(now), silence_.silentHosts(now)};
+  ZoneNews news{zone_.standings(now), silence_.silentHosts(now), {}};
+  news.speeds = zone_.speeds(now, mostSpeedsBeside(news.standings.size()));
+  return news;
 }
 
 std::optional<ZoneNews> ObservationExchange::takeNews() {
--- a/source/common/health/observation_exchange.h
+++ b/source/common/health/observation_exchange.h
@@ -27,6 +27,8 @@
   std::vector<HostStanding> standings;
   /** Hosts that are silent to all. */
   std::vector<SilentHost> silentHosts;
+  /** Hosts whose speed is known; of many, a part of them. */
+  std::vector<LearnedSpeed> speeds;
 };
 
 /** Thread safe; no call blocks for longer than another one takes. */
--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -40,12 +40,15 @@
   uint32_t requests = 0;
   /** Mean of their times, as a percentage of their services' usual time. */
   uint32_t percentOfUsual = 100;
+  /** Mean of the times that the host worked on them, the network and waiting left out, as a
+   * percentage of the usual one; 0: not measured. */
+  uint32_t workPercent = 0;
 
   bool operator==(const HostObservation&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
-    visitor(token, requests, percentOfUsual);
+    visitor(token, requests, percentOfUsual, workPercent);
   }
 };
 
@@ -119,6 +122,22 @@
   }
 };
 
+/** How fast the nodes of a zone together find a host. */
+struct LearnedSpeed {
+  uint32_t token = 0;
+  /** Work in the same time, as a percentage of the usual. */
+  uint32_t percentOfUsual = 100;
+  /** Requests that it rests on, each weighed by its age. */
+  uint32_t samples = 0;
+
+  bool operator==(const LearnedSpeed&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(token, percentOfUsual, samples);
+  }
+};
+
 /** PeerChanges::outageEndedAgoMilliseconds where there was no outage. */
 constexpr uint32_t kNoOutage = UINT32_MAX;
 
@@ -146,6 +165,8 @@
   std::vector<std::string> evacuatedZones;
   /** Hosts that are silent to all nodes of the zone. */
   std::vector<SilentHost> silentHosts;
+  /** Hosts whose speed is known; of many, a part of them. */
+  std::vector<LearnedSpeed> speeds;
 
   bool operator==(const PeerChanges&) const = default;
 
@@ -153,7 +174,7 @@
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
             hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones,
-            silentHosts);
+            silentHosts, speeds);
   }
 };
 
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -148,6 +148,7 @@
     if (const auto news = hooks.observations->takeNews()) {
       director.learn(now, news->standings);
       director.learnSilent(now, news->silentHosts);
+      director.learnSpeeds(now, news->speeds);
     }
   }
 
@@ -159,6 +160,13 @@
             << " host=" << pace.host << " slowness=" << pace.slowness;
       }
     }
+    for (const SpeedChange& change : director.takeSpeedChanges()) {
+      if (flowLog.admit(steadyNow(), LineKind::kBelief)) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO)
+            << "event=host_speed_" << (change.low ? "low" : "usual") << " pool=" << change.pool
+            << " host=" << change.host << " speed=" << change.speed;
+      }
+    }
   }
 
   void flushLog() {
@@ -323,6 +331,7 @@
         director.listedHostCount(),
         evacuatedZones.zones.size(),
         director.coldHostCount(steadyNow()),
+        director.speeds(steadyNow()),
         path.counters(),
         port->counters(),
         flowLog.counters(),
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -126,6 +126,20 @@
       .take();
 }
 
+void addSpeeds(const SpeedSummary& speeds, Families& families) {
+  families.push_back(gaugeOf("umberhold_known_speeds", "Hosts whose speed is learnt",
+                             static_cast<double>(speeds.known)));
+  families.push_back(gaugeOf("umberhold_slow_hosts",
+                             "Hosts that do less than half of the usual work in the same time",
+                             static_cast<double>(speeds.slow)));
+  families.push_back(gaugeOf("umberhold_lowest_speed",
+                             "Slowest host's work in the same time, as a multiple of the usual",
+                             speeds.lowest));
+  families.push_back(gaugeOf("umberhold_highest_speed",
+                             "Fastest host's work in the same time, as a multiple of the usual",
+                             speeds.highest));
+}
+
 }  // namespace
 
 prometheus::Histogram makePacketTimes() {
@@ -149,6 +163,7 @@
   families.push_back(gaugeOf("umberhold_cold_hosts",
                              "Hosts that started a moment ago and bear few requests",
                              static_cast<double>(metrics.coldHosts)));
+  addSpeeds(metrics.speeds, families);
   addPacketFamilies(metrics.packets, families);
   families.push_back(histogramFamily("umberhold_packet_seconds",
                                      "Time from a datagram's reading to the end of its handling",
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -28,6 +28,7 @@
   size_t hosts = 0;
   size_t evacuatedZones = 0;
   size_t coldHosts = 0;
+  SpeedSummary speeds;
   const PacketCounters& packets;
   const UdpCounters& port;
   const FlowLogCounters& flows;
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -181,6 +181,7 @@
     reader.fraction("weighed_ratio", placement.weighedRatio, kHighestRatio);
     reader.fraction("zone_leaves_ratio", placement.zoneLeavesRatio, kHighestRatio);
     reader.fraction("full_zone_load", placement.fullZoneLoad, kHighestRatio);
+    reader.flag("learn_speeds", placement.learnsSpeeds);
     reader.fraction("openings_per_slot", settings.openings.openingsPerSlot, kHighestRatio, true);
     reader.fraction("opening_wait_part", settings.openings.longestWaitPart, kLongestWaitPart, true);
     reader.fraction("cold_rate_factor", settings.coldHosts.rateFactor, kHighestRatio, true);
@@ -234,6 +235,7 @@
   comparePlacement("weighed_ratio", &PlacementOptions::weighedRatio);
   comparePlacement("zone_leaves_ratio", &PlacementOptions::zoneLeavesRatio);
   comparePlacement("full_zone_load", &PlacementOptions::fullZoneLoad);
+  comparePlacement("learn_speeds", &PlacementOptions::learnsSpeeds);
   const auto compareOpenings = [&](const char* key, auto member) {
     if (before.openings.*member != after.openings.*member) {
       changes.push_back({key, false});
--- a/source/common/token/flow_placement.cc
+++ b/source/common/token/flow_placement.cc
@@ -1,6 +1,7 @@
 #include "common/token/flow_placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -68,7 +69,8 @@
         (!silentZones_.isEmpty() && silentZones_.isSilent(now, host->pool, host->spec.zone));
     candidate.avoided = host->token == avoided;
     candidate.vanished = !host->listed;
-    candidate.load = (host->estimate.load(now) + 1.0) / host->spec.weight;
+    candidate.speed = speedOf(now, *host);
+    candidate.load = (host->estimate.load(now) + 1.0) / candidate.weight();
   }
 }
 
@@ -84,7 +86,8 @@
     notePace(candidate);
     if (candidate.slowness > options_.weighedRatio) {
       const double excess = candidate.slowness / options_.weighedRatio;
-      candidate.load *= excess * excess;
+      candidate.lateness = excess * excess;
+      candidate.load *= candidate.lateness;
     }
   }
 }
@@ -108,6 +111,38 @@
 }
 
 const FlowPlacement::Candidate* FlowPlacement::best() {
+  return options_.choosesOfTwo ? betterOfTwo() : leastLoaded();
+}
+
+const FlowPlacement::Candidate* FlowPlacement::betterOfTwo() {
+  const Candidate* first = drawn();
+  const Candidate* second = drawn();
+  return first != nullptr && second->load < first->load ? second : first;
+}
+
+const FlowPlacement::Candidate* FlowPlacement::drawn() {
+  double tier = std::numeric_limits<double>::infinity();
+  double total = 0.0;
+  const Candidate* chosen = nullptr;
+  for (const Candidate& candidate : candidates_) {
+    const double ownTier = candidate.tier(evidence_.leavesZone);
+    if (ownTier > tier) {
+      continue;
+    }
+    if (ownTier < tier) {
+      tier = ownTier;
+      total = 0.0;
+    }
+    const double chance = candidate.weight() / candidate.lateness;
+    total += chance;
+    if (random_.unit() * total < chance) {
+      chosen = &candidate;
+    }
+  }
+  return chosen;
+}
+
+const FlowPlacement::Candidate* FlowPlacement::leastLoaded() {
   const Candidate* best = nullptr;
   double bestRank = 0.0;
   uint64_t equals = 0;
@@ -130,8 +165,8 @@
   double total = 0.0;
   for (const Candidate& candidate : candidates_) {
     if (!candidate.isPoor()) {
-      weights[candidate.host->spec.zone] += candidate.host->spec.weight;
-      total += candidate.host->spec.weight;
+      weights[candidate.host->spec.zone] += candidate.weight();
+      total += candidate.weight();
     }
   }
   const auto own = weights.find(zone_);
@@ -150,21 +185,25 @@
 }
 
 double FlowPlacement::partByLoad(TimePoint now, const TokenPool& pool) const {
-  double ownSlots = 0.0;
   double slots = 0.0;
+  double room = 0.0;
+  double ownRoom = 0.0;
   for (const Candidate& candidate : candidates_) {
     if (!candidate.isPoor()) {
       slots += candidate.host->spec.slots;
-      ownSlots += candidate.host->spec.zone == zone_ ? candidate.host->spec.slots : 0;
+      room += candidate.room();
+      ownRoom += candidate.host->spec.zone == zone_ ? candidate.room() : 0;
     }
   }
+  const double ownPart = room == 0.0 ? 0.0 : ownRoom / room;
+  const double ownSlots = slots * ownPart;
   const double load = pool.underWay.value(now) * zoneNodes_;
   const double bearable = options_.fullZoneLoad * ownSlots;
   if (ownSlots == 0.0 || load <= bearable) {
     return 1.0;
   }
   const double preferred = bearable / load;
-  return preferred + (1.0 - preferred) * ownSlots / slots;
+  return preferred + (1.0 - preferred) * ownPart;
 }
 
 double FlowPlacement::partByTimes(TimePoint now, const TokenPool& pool,
@@ -192,11 +231,12 @@
   evidence_.zoneScore = pool.zoneScore(now, zone_);
   evidence_.load = host.estimate.load(now);
   evidence_.weight = host.spec.weight;
+  evidence_.speed = chosen.speed;
   evidence_.poolVersion = pool.version;
   evidence_.poolAppliedAt = pool.appliedAt;
 }
 
-double FlowPlacement::Candidate::rank(bool leavesZone) const {
+double FlowPlacement::Candidate::tier(bool leavesZone) const {
   double tier = otherZone ? kTier : 0.0;
   if (leavesZone && !otherZone) {
     tier += 2 * kTier;
@@ -207,7 +247,7 @@
   if (vanished) {
     tier += 4 * kTier;
   }
-  return tier + load;
+  return tier;
 }
 
 }  // namespace umberhold
--- a/source/common/token/flow_placement.h
+++ b/source/common/token/flow_placement.h
@@ -44,6 +44,11 @@
   TokenHost* place(TimePoint now, const TokenPool& pool, uint32_t avoided);
   /** @return requests that the pool's good hosts work on at once; 0 where that is not known. */
   double usableSlots(TimePoint now, const TokenPool& pool);
+  bool learnsSpeeds() const { return options_.learnsSpeeds; }
+  /** @return see HostSpeed; 1 where speeds are not learnt. */
+  double speedOf(TimePoint now, const TokenHost& host) const {
+    return options_.learnsSpeeds ? host.speed.value(now).speed : 1.0;
+  }
   /** Hosts of these zones get no new flow. */
   void setEvacuatedZones(EvacuatedZones zones) { evacuated_ = std::move(zones); }
   /** Nodes of this node's zone, itself included; callers are spread evenly over them. */
@@ -66,14 +71,23 @@
     bool vanished = false;
     /** Answers of late, as a multiple of the pool's median. */
     double slowness = 1.0;
+    /** See HostSpeed; 1 where speeds are not learnt. */
+    double speed = 1.0;
+    /** Its load is scaled by it, for late answers. */
+    double lateness = 1.0;
     /** Load for its weight, the new flow included. */
     double load = 0.0;
 
+    double weight() const { return host->spec.weight * speed; }
+    /** Requests that it works on at once, in those of a host of usual speed. */
+    double room() const { return host->spec.slots * speed; }
     /** @return whether its zone should not count on it. */
     bool isPoor() const { return silent || avoided || host->slow || vanished; }
     /** @return the order of preference, lower first. @param leavesZone hosts of the own zone come
      * after others. */
-    double rank(bool leavesZone) const;
+    double rank(bool leavesZone) const { return tier(leavesZone) + load; }
+    /** @return the part of rank() that goes before all load. */
+    double tier(bool leavesZone) const;
   };
 
   /** Fills candidates_. */
@@ -98,6 +112,13 @@
   double partByTimes(TimePoint now, const TokenPool& pool,
                      const std::vector<std::string_view>& otherZones) const;
   const Candidate* best();
+  /** @return the candidate with the lowest rank, by lot among equals. */
+  const Candidate* leastLoaded();
+  /** @return the less loaded of two that were drawn: a host without load gets no more than twice
+   * its part of the flows, however many nodes find it so at once. */
+  const Candidate* betterOfTwo();
+  /** @return one of the best tier, by lot: by weight, and fewer times where it answers late. */
+  const Candidate* drawn();
   void noteEvidence(TimePoint now, const TokenPool& pool, const Candidate& chosen);
 
   bool isEvacuated(const TokenHost& host) const {
--- a/source/common/token/opening_watch.cc
+++ b/source/common/token/opening_watch.cc
@@ -26,6 +26,13 @@
   return {entry.token, entry.counted};
 }
 
+std::optional<Duration> OpeningWatch::sinceOpening(TimePoint now, FlowHash flow,
+                                                   uint32_t token) const {
+  const Entry& entry = entryOf(flow);
+  return entry.flow == flow && entry.token == token && token != 0 ? std::optional(now - entry.at)
+                                                                  : std::nullopt;
+}
+
 bool OpeningWatch::onFollowed(FlowHash flow, uint32_t token) {
   Entry& entry = entryOf(flow);
   if (entry.flow != flow || entry.token != token) {
--- a/source/common/token/opening_watch.h
+++ b/source/common/token/opening_watch.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include "common/base/strong_id.h"
@@ -35,6 +36,9 @@
   void onPlaced(TimePoint now, FlowHash flow, uint32_t token);
   /** @return the earlier copy that was left unanswered. */
   EarlierOpening earlierOf(TimePoint now, FlowHash flow) const;
+  /** @return how long ago the flow's opening was placed at the host with the token, where no later
+   * packet has followed yet. */
+  std::optional<Duration> sinceOpening(TimePoint now, FlowHash flow, uint32_t token) const;
   /** A later packet of a flow. @return whether it is the first one after the opening. */
   bool onFollowed(FlowHash flow, uint32_t token);
   /** Every packet that had arrived was handled. @return tokens of hosts at which an opening was
--- a/source/common/token/placement_options.h
+++ b/source/common/token/placement_options.h
@@ -16,6 +16,12 @@
    * stay in the zone; beyond it a part is spread over the hosts of all zones. */
   double fullZoneLoad = 0.7;
 
+  /** A host's weight counts times its learnt speed, and its times are judged by that speed. */
+  bool learnsSpeeds = true;
+  /** Of two hosts that are drawn by weight the less loaded one gets the flow, in place of the least
+   * loaded of all. */
+  bool choosesOfTwo = false;
+
   bool operator==(const PlacementOptions&) const = default;
 };
 
--- a/source/common/token/response_score.h
+++ b/source/common/token/response_score.h
@@ -8,6 +8,8 @@
 #include <optional>
 
 #include "common/base/time.h"
+#include "common/speed/running_median.h"
+#include "common/speed/work_times.h"
 
 namespace umberhold {
 
@@ -65,30 +67,21 @@
 class UsualResponseTime {
  public:
   void add(TimePoint now, Duration response) {
-    const double sample = std::log(millisecondsOf(response));
-    const double seconds = std::chrono::duration<double>(now - at_).count();
-    const double drift = kDriftPerSecond * std::clamp(seconds, 0.0, 1.0);
-    at_ = now;
-    ++samples_;
-    if (samples_ == 1) {
-      median_ = sample;
-    }
-    const double step = samples_ < kWarmUpSamples ? 1.0 / samples_ : drift;
-    median_ += std::clamp(sample - median_, -step, step);
+    median_.add(now, std::log(millisecondsOf(response)));
   }
   /** @return the response as a multiple of the usual time; nothing before enough is known. */
   std::optional<double> ratioOf(Duration response) const {
-    if (samples_ < kEnoughSamples) {
+    if (median_.samples() < kEnoughSamples) {
       return std::nullopt;
     }
-    return millisecondsOf(response) / std::exp(median_);
+    return millisecondsOf(response) / std::exp(median_.value());
   }
   /** @return when a request has waited `ratio` times as long as usual. */
   std::optional<Duration> timeOf(double ratio) const {
-    if (samples_ < kEnoughSamples) {
+    if (median_.samples() < kEnoughSamples) {
       return std::nullopt;
     }
-    const double milliseconds = std::exp(median_) * ratio - kSlackMilliseconds;
+    const double milliseconds = std::exp(median_.value()) * ratio - kSlackMilliseconds;
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli>(milliseconds));
   }
@@ -99,16 +92,11 @@
   }
 
   /** Is added to all times: differences of a few milliseconds tell of the network. */
-  static constexpr double kSlackMilliseconds = 20.0;
-  /** The median moves by at most this part of itself in a second, once it is known. */
-  static constexpr double kDriftPerSecond = 0.05;
-  static constexpr uint32_t kWarmUpSamples = 16;
+  static constexpr double kSlackMilliseconds = kScoreSlackMilliseconds;
   static constexpr uint32_t kEnoughSamples = 5;
 
   /** Natural logarithm of milliseconds. */
-  double median_ = 0.0;
-  uint32_t samples_ = 0;
-  TimePoint at_{};
+  RunningMedian median_;
 };
 
 }  // namespace umberhold
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -27,6 +27,11 @@
 constexpr size_t kMostSamples = 1024;
 /** A request that waits so many times longer than usual counts as the worst sample. */
 constexpr double kOverdueRatio = ResponseScore::kHighestSample;
+/** A low speed is no longer low from here on: figures differ by a fifth without a cause. */
+constexpr double kSlowSpeedEnds = 0.65;
+/** Requests under way for each slot of a pool up to which its hosts' times tell of their speed: in
+ * a fuller pool most requests wait for a slot (M/M/2). */
+constexpr double kFreeSlotsLoad = 0.7;
 
 uint64_t listenKey(uint32_t address, uint16_t port, TransportProtocol protocol) {
   return (uint64_t{address} << kAddressShift) | (uint64_t{port} << kPortShift) |
@@ -115,9 +120,11 @@
   const auto before = services_.find(id);
   const UsualResponseTime usualTime =
       before == services_.end() ? UsualResponseTime{} : before->second.usualTime;
+  const WorkTimes workTimes = before == services_.end() ? WorkTimes{} : before->second.workTimes;
   removeService(service.name);
   ServiceEntry& entry = services_[id];
   entry.usualTime = usualTime;
+  entry.workTimes = workTimes;
   entry.name = service.name;
   entry.listen = listenKey(service.address, service.port, service.protocol);
   entry.repeatable = service.repeatable;
@@ -231,6 +238,7 @@
                ? FlowDecision(DropPacket{DropReason::kHostGone})
                : FlowDecision(RefuseFlow{RefusalReason::kHostEnded});
   }
+  noteRoundTrip(now, packet);
   if (openings_.onFollowed(packet.hash, packet.token)) {
     noteAnswered(now, *host);
   }
@@ -254,6 +262,14 @@
       service == services_.end() ? std::nullopt : service->second.usualTime.timeOf(kOverdueRatio));
 }
 
+void TokenDirector::noteRoundTrip(TimePoint now, const FlowPacket& packet) {
+  const auto roundTrip = openings_.sinceOpening(now, packet.hash, packet.token);
+  const auto service = roundTrip ? services_.find(packet.service) : services_.end();
+  if (service != services_.end()) {
+    service->second.workTimes.onOpened(now, *roundTrip);
+  }
+}
+
 void TokenDirector::noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host) {
   const auto service = services_.find(packet.service);
   if (service == services_.end()) {
@@ -265,10 +281,14 @@
     return;
   }
   noteUnderWay(now, host, *response);
+  WorkTimes& workTimes = service->second.workTimes;
   const auto ratio = usualTime.ratioOf(*response);
+  const auto workRatio = workTimes.ratioOf(*response);
   usualTime.add(now, *response);
+  workTimes.add(now, *response);
   if (ratio) {
-    noteSample(now, host, *ratio);
+    const double speed = placement_.speedOf(now, host);
+    noteSample(now, host, {host.token, *ratio / workTimes.expectedRatio(speed), workRatio});
   }
 }
 
@@ -291,25 +311,69 @@
     if (service != services_.end() && host != nullptr) {
       service->second.usualTime.add(now, request.waited);
       noteUnderWay(now, *host, request.waited);
-      noteSample(now, *host, kOverdueRatio);
+      noteSample(now, *host, {host->token, kOverdueRatio, kOverdueWorkRatio});
     }
   }
 }
 
-void TokenDirector::noteSample(TimePoint now, TokenHost& host, double ratio) {
+void TokenDirector::noteSample(TimePoint now, TokenHost& host, const HostSample& sample) {
   TokenPool* pool = hosts_.findPool(host.pool);
   if (pool == nullptr) {
     return;
   }
-  host.estimate.onResponse(now, ratio);
+  host.estimate.onResponse(now, sample.ratio);
   if (samples_.size() < kMostSamples) {
-    samples_.push_back({host.token, ratio});
+    HostSample& kept = samples_.emplace_back(sample);
+    if (!placement_.learnsSpeeds() || !hasFreeSlots(now, *pool)) {
+      kept.workRatio.reset();
+    }
   }
   if (!host.slow) {
-    pool->zones.try_emplace(host.spec.zone, kZoneSamplePart).first->second.add(now, ratio);
+    pool->zones.try_emplace(host.spec.zone, kZoneSamplePart).first->second.add(now, sample.ratio);
+  }
+}
+
+bool TokenDirector::hasFreeSlots(TimePoint now, const TokenPool& pool) const {
+  const double load = pool.underWay.value(now) * zoneNodes_ * pool.zoneCount;
+  return load < kFreeSlotsLoad * pool.slots;
+}
+
+void TokenDirector::learnSpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds) {
+  for (const LearnedSpeed& learned : speeds) {
+    TokenHost* host = hosts_.find(learned.token);
+    if (host != nullptr && learned.percentOfUsual > 0) {
+      const HostSpeed speed{learned.percentOfUsual / kPercent,
+                            static_cast<double>(learned.samples)};
+      host->speed.learn(now, speed);
+      noteSpeed(*host, speed.speed);
+    }
   }
 }
 
+void TokenDirector::noteSpeed(TokenHost& host, double speed) {
+  const bool low = speed < (host.speedIsLow ? kSlowSpeedEnds : kSlowSpeed);
+  if (low != host.speedIsLow) {
+    host.speedIsLow = low;
+    speedChanges_.push_back({host.pool, host.spec.name, low, speed});
+  }
+}
+
+SpeedSummary TokenDirector::speeds(TimePoint now) const {
+  SpeedSummary summary;
+  hosts_.forEachPool([&](const TokenPool& pool) {
+    for (const TokenHost* host : pool.hosts) {
+      const HostSpeed speed = host->speed.value(now);
+      if (host->listed && speed.samples > 0.0) {
+        summary.lowest = summary.known == 0 ? speed.speed : std::min(summary.lowest, speed.speed);
+        summary.highest = summary.known == 0 ? speed.speed : std::max(summary.highest, speed.speed);
+        ++summary.known;
+        summary.slow += speed.speed < kSlowSpeed ? 1 : 0;
+      }
+    }
+  });
+  return summary;
+}
+
 void TokenDirector::learn(TimePoint now, const std::vector<HostStanding>& standings) {
   for (const HostStanding& standing : standings) {
     if (TokenHost* host = hosts_.find(standing.token)) {
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -24,6 +24,7 @@
 #include "common/flow/held_packets.h"
 #include "common/flow/service_lookup.h"
 #include "common/messages/peer_messages.h"
+#include "common/speed/work_times.h"
 #include "common/token/dead_host_flows.h"
 #include "common/token/flow_placement.h"
 #include "common/token/flow_progress.h"
@@ -53,8 +54,33 @@
   uint32_t token = 0;
   /** As a multiple of the service's usual time. */
   double ratio = 1.0;
+  /** The time that the host worked on it, as a multiple of the service's usual one; nothing where
+   * the request may have waited for a slot. */
+  std::optional<double> workRatio;
 };
 
+/** Speeds of listed hosts, as this node was told; see HostSpeed. */
+struct SpeedSummary {
+  size_t known = 0;
+  /** Hosts that do less than kSlowSpeed. */
+  size_t slow = 0;
+  /** 1 where none is known. */
+  double lowest = 1.0;
+  double highest = 1.0;
+};
+
+/** A host's learnt speed became low, or is no longer; for logs. */
+struct SpeedChange {
+  std::string pool;
+  std::string host;
+  bool low = false;
+  /** See HostSpeed. */
+  double speed = 1.0;
+};
+
+/** Below it a host counts as slow in figures and logs. */
+constexpr double kSlowSpeed = 0.5;
+
 /** See the file comment. Not thread safe. */
 class TokenDirector : public FlowDirector, public ServiceLookup {
  public:
@@ -99,6 +125,11 @@
   std::vector<HostSample> takeSamples() { return std::exchange(samples_, {}); }
   /** What the nodes of the zone together say of hosts. */
   void learn(TimePoint now, const std::vector<HostStanding>& standings);
+  /** The nodes of the zone together find hosts so fast. */
+  void learnSpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds);
+  SpeedSummary speeds(TimePoint now) const;
+  /** @return the hosts whose speed became low, or is no longer, since the last call. */
+  std::vector<SpeedChange> takeSpeedChanges() { return std::exchange(speedChanges_, {}); }
   /** Hosts are silent to all nodes of the zone. */
   void learnSilent(TimePoint now, const std::vector<SilentHost>& silentHosts);
   /** @return what hosts acknowledged or not, of those where that changed since the last call. */
@@ -131,6 +162,7 @@
     /** Callers give a request up after so long; 0: not known. */
     Duration requestTimeout{0};
     UsualResponseTime usualTime;
+    WorkTimes workTimes;
   };
   /** Flows of hosts that a change showed to have ended are to be reset, and packets that waited for
    * hosts that it brought may go on. */
@@ -152,11 +184,16 @@
   bool noteProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
   /** The caller continues a flow that may have been opened a moment ago. */
   void noteOpened(TimePoint now, const FlowPacket& packet);
+  /** The packet may be the first one after its flow's opening. */
+  void noteRoundTrip(TimePoint now, const FlowPacket& packet);
   /** Learns from the packet how long the host took for its request. */
   void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host);
   /** A request ended, or waits beyond all measure. */
   void noteUnderWay(TimePoint now, const TokenHost& host, Duration took);
-  void noteSample(TimePoint now, TokenHost& host, double ratio);
+  void noteSample(TimePoint now, TokenHost& host, const HostSample& sample);
+  void noteSpeed(TokenHost& host, double speed);
+  /** @return whether requests of the pool hardly wait for slots; false where slots aren't known. */
+  bool hasFreeSlots(TimePoint now, const TokenPool& pool) const;
   void noteSign(TokenHost& host);
   /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
   void noteDead(TimePoint now, const std::set<uint32_t>& tokens);
@@ -195,6 +232,7 @@
   RequestTimer timer_;
   DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
+  std::vector<SpeedChange> speedChanges_;
   /** Tokens of the hosts whose signs changed; each once. */
   std::vector<uint32_t> changedSigns_;
 };
--- a/source/common/token/token_hosts.cc
+++ b/source/common/token/token_hosts.cc
@@ -138,6 +138,15 @@
       pool->second.hosts.push_back(&host);
     }
   }
+  for (auto& [name, pool] : pools_) {
+    pool.slots = 0;
+    std::unordered_set<std::string_view> zones;
+    for (const TokenHost* host : pool.hosts) {
+      zones.insert(host->spec.zone);
+      pool.slots += host->isActive() ? host->spec.slots : 0;
+    }
+    pool.zoneCount = static_cast<uint32_t>(zones.size());
+  }
 }
 
 TokenHost* TokenHosts::find(uint32_t token) {
--- a/source/common/token/token_hosts.h
+++ b/source/common/token/token_hosts.h
@@ -17,6 +17,7 @@
 #include "common/base/strong_id.h"
 #include "common/base/time.h"
 #include "common/config/service.h"
+#include "common/speed/known_speed.h"
 #include "common/token/cold_hosts.h"
 #include "common/token/host_estimate.h"
 #include "common/token/response_score.h"
@@ -70,6 +71,9 @@
   /** It answered far later than its pool's median at the pool's last placement. */
   bool slow = false;
   HostEstimate estimate;
+  KnownSpeed speed;
+  /** Its learnt speed is low; see TokenDirector::learnSpeeds. */
+  bool speedIsLow = false;
   SilenceEvidence silence;
   /** It is silent to several nodes or flows: until then it counts as dead, unless it answers. */
   TimePoint deadUntil{};
@@ -90,6 +94,9 @@
 struct TokenPool {
   /** All that it lists, and those that left and are still remembered. Borrowed from TokenHosts. */
   std::vector<TokenHost*> hosts;
+  /** Of the hosts that it lists as active, and the number of their zones. */
+  uint32_t slots = 0;
+  uint32_t zoneCount = 0;
   ColdLimit cold{};
   /** Answers of late by zone, of the hosts that aren't slow themselves. */
   std::map<std::string, ResponseScore, std::less<>> zones;
@@ -143,7 +150,7 @@
    * neither counts as later. */
   void settleEnded(std::vector<HostChange>& changes);
   void forgetOld(TimePoint now);
-  /** Rebuilds the pools' lists of hosts. */
+  /** Rebuilds the pools' lists of hosts, and what is counted of them. */
   void indexByPool();
 
   Duration flowLife_;
--- a/test/common/health/host_observations_test.cc
+++ b/test/common/health/host_observations_test.cc
@@ -119,6 +119,51 @@
   LONGS_EQUAL(kMostReportedHosts, gatherer.takeReport(now).hosts.size());
 }
 
+TEST(HostObservations, AReportHoldsTheWorkOfRequestsThatDidNotWait) {
+  SampleGatherer gatherer(5);
+  gatherer.add({{kSlowHost, 2.0, 1.0}, {kSlowHost, 2.0, 4.0}, {kSlowHost, 9.0, std::nullopt}});
+  gatherer.add({{kUsualHost, 1.0, std::nullopt}});
+  for (const HostObservation& seen : gatherer.takeReport(now).hosts) {
+    LONGS_EQUAL(seen.token == kSlowHost ? 200 : 0, seen.workPercent);
+  }
+  CHECK_TRUE(zone.merge(now, {1, 1, {{kSlowHost, 1, 100, 401}}, {}}) == ReportOutcome::kInvalid);
+}
+
+TEST(HostObservations, ANodeThatAsksHearsHowFastHostsAre) {
+  ObservationExchange exchange("front-1");
+  for (uint64_t reporter = 1; reporter <= 6; ++reporter) {
+    const HostReport report{reporter, 1, {{kSlowHost, 2, 100, 200}}, {}};
+    exchange.merge(now, valueOf(encodeHostReport(report)));
+  }
+  const auto speeds = exchange.news(now).speeds;
+  LONGS_EQUAL(1, speeds.size());
+  LONGS_EQUAL(kSlowHost, speeds[0].token);
+  CHECK_TRUE(speeds[0].percentOfUsual < 60);
+}
+
+TEST(HostObservations, SpeedsTakeTheBytesThatStandingsLeave) {
+  LONGS_EQUAL(kMostLearnedSpeeds, mostSpeedsBeside(0));
+  LONGS_EQUAL(12, mostSpeedsBeside(kMostStandings - 10));
+  LONGS_EQUAL(0, mostSpeedsBeside(kMostStandings));
+  const auto bytesOf = [](size_t standings, size_t speeds) {
+    PeerChanges changes;
+    uint64_t number = 0;  // Tokens that can't be compressed.
+    for (size_t index = 0; index < standings; ++index) {
+      changes.standings.push_back({flowTokenOf(++number), 500, 3000});
+    }
+    for (size_t index = 0; index < speeds; ++index) {
+      changes.speeds.push_back({flowTokenOf(++number), 400, 127});
+    }
+    return valueOf(encodePeerChanges(changes)).size();
+  };
+  constexpr size_t kStandingBytes = 12;
+  constexpr size_t kListHeads = 4;
+  const size_t most = bytesOf(0, 0) + kListHeads + kStandingBytes * kMostStandings;
+  for (size_t standings = 0; standings <= kMostStandings; ++standings) {
+    CHECK_TRUE(bytesOf(standings, mostSpeedsBeside(standings)) <= most);
+  }
+}
+
 TEST(HostObservations, ANodeThatIsAskedAddsWhatItSeesItself) {
   ObservationExchange exchange("front-1");
   const auto encoded = encodeHostReport({1, 1, {{kSlowHost, 1, 500}}, {}});
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -33,6 +33,7 @@
 weighed_ratio = 1.5
 zone_leaves_ratio = 1000
 full_zone_load = 0.5
+learn_speeds = false
 openings_per_slot = 2.5
 opening_wait_part = 0.25
 )";
--- a/test/common/token/flow_placement_test.cc
+++ b/test/common/token/flow_placement_test.cc
@@ -110,6 +110,120 @@
   LONGS_EQUAL(100, placed[1] + placed[2]);
 }
 
+TEST(FlowPlacement, GivesAHostFlowsByItsSpeed) {
+  setHosts(3, 0);
+  host(1).speed.learn(now, {1.8, 20});
+  host(2).speed.learn(now, {0.6, 20});
+  host(3).speed.learn(now, {0.6, 20});
+  auto placed = place(1000);
+  DOUBLES_EQUAL(600, placed[1], 10);
+  DOUBLES_EQUAL(200, placed[2], 10);
+}
+
+TEST(FlowPlacement, AHostOfUnknownSpeedCountsAsUsual) {
+  setHosts(3, 0);
+  host(1).speed.learn(now, {2.0, 20});
+  auto placed = place(1000);
+  DOUBLES_EQUAL(500, placed[1], 10);
+  DOUBLES_EQUAL(250, placed[3], 10);
+  now += seconds(61);  // Nobody spoke of it any more.
+  placed = place(900);
+  DOUBLES_EQUAL(300, placed[1], 20);
+}
+
+TEST(FlowPlacement, SpeedsAreTheOperatorsChoice) {
+  options.learnsSpeeds = false;
+  setHosts(3, 0);
+  host(1).speed.learn(now, {2.0, 20});
+  LONGS_EQUAL(300, place(900)[1]);
+}
+
+/** The fast half of the pool drains in the crest of a wave: by number half of it is left, by speed a
+ * quarter. Hosts that are cold and new get their allotments beside. */
+TEST(FlowPlacement, HostsThatLeaveAreReplacedByTheirWorkNotByTheirNumber) {
+  setHosts(4, 4);
+  for (uint64_t number = 1; number <= 8; ++number) {
+    host(number).speed.learn(now, {number <= 2 ? 1.5 : 0.5, 20});
+  }
+  // The own zone does 4 of 6 parts; the rest of its callers stay, since it has more than its share.
+  auto placed = place(1000);
+  DOUBLES_EQUAL(750, placed[1] + placed[2], 15);
+  host(1).spec.state = HostState::kDraining;
+  host(2).spec.state = HostState::kDraining;
+  placed = place(1000);
+  LONGS_EQUAL(0, placed[1] + placed[2]);
+  // 1 of 3 parts is here, where an equal share is a half: two thirds stay.
+  DOUBLES_EQUAL(667, placed[3] + placed[4], 50);
+}
+
+/** Many nodes see a host that has just come in the same way: none has given it anything yet. */
+TEST(FlowPlacement, OfTwoThatAreDrawnAHostWithoutLoadGetsTwiceItsPartAtMost) {
+  options.choosesOfTwo = true;
+  setHosts(10, 0);
+  for (uint64_t number = 2; number <= 10; ++number) {
+    for (int flow = 0; flow < 20; ++flow) {
+      host(number).estimate.onOpening(now);
+    }
+  }
+  CHECK_TRUE(place(100)[1] <= 32);
+  options.choosesOfTwo = false;
+  now += seconds(60);
+  for (uint64_t number = 2; number <= 10; ++number) {
+    for (int flow = 0; flow < 60; ++flow) {
+      host(number).estimate.onOpening(now);
+    }
+  }
+  CHECK_TRUE(place(20)[1] > 15);
+}
+
+TEST(FlowPlacement, OfTwoThatAreDrawnFewAreHostsThatAnswerFarLater) {
+  options.choosesOfTwo = true;
+  setHosts(6, 0);
+  for (uint64_t number = 1; number <= 3; ++number) {
+    answer(number, 5.0, 30);
+  }
+  auto placed = place(1000);
+  CHECK_TRUE(placed[1] + placed[2] + placed[3] < 100);
+}
+
+TEST(FlowPlacement, OfTwoThatAreDrawnEachGetsFlowsByItsSpeed) {
+  options.choosesOfTwo = true;
+  setHosts(3, 0);
+  host(1).speed.learn(now, {1.8, 20});
+  host(2).speed.learn(now, {0.6, 20});
+  host(3).speed.learn(now, {0.6, 20});
+  DOUBLES_EQUAL(600, place(1000)[1], 40);
+}
+
+/** A third of a pool is released in the crest of a wave: those that are left take its flows by
+ * their speeds, and a host's new life begins as a usual one. */
+TEST(FlowPlacement, AReleaseInTheCrestOfAWaveFillsHostsByTheirSpeeds) {
+  setHosts(9, 0);
+  const auto speedOf = [](uint64_t number) { return number % 3 == 0 ? 1.7 : 0.7; };
+  for (uint64_t number = 1; number <= 9; ++number) {
+    host(number).speed.learn(now, {speedOf(number), 20});
+    host(number).spec.slots = 2;
+  }
+  hosts.findPool("dispatch")->underWay.onEnded(now, seconds(40));  // Twice its slots.
+  place(900);
+  std::vector<HostSpec> listed;
+  for (uint64_t number = 4; number <= 9; ++number) {
+    listed.push_back(host(number).spec);
+  }
+  hosts.setPool(now, {"dispatch", listed}, 2);
+  now += seconds(2);
+  auto placed = place(900);
+  for (uint64_t number = 4; number <= 9; ++number) {
+    DOUBLES_EQUAL(900 * speedOf(number) / 6.2, placed[number], 0.05 * 900);
+  }
+  HostSpec again = makeHost(101, "bole");
+  again.endpoint = makeHost(1, "bole").endpoint;
+  listed.push_back(again);
+  hosts.setPool(now, {"dispatch", listed}, 3);
+  DOUBLES_EQUAL(0.0, host(101).speed.value(now).samples, 1e-9);
+  DOUBLES_EQUAL(1.0, host(101).speed.value(now).speed, 1e-9);
+}
+
 TEST(FlowPlacement, SaysOnceThatAHostBecameSlowAndOnceThatItIsUsualAgain) {
   setHosts(3, 0);
   FlowPlacement placement("bole", options, random);
--- a/test/common/token/token_director_test.cc
+++ b/test/common/token/token_director_test.cc
@@ -443,6 +443,56 @@
   LONGS_EQUAL(1, director.takePaceChanges().size());
 }
 
+TEST(TokenDirector, TimesTheWorkOfHostsWhileTheyHaveFreeSlots) {
+  const auto serve = [&](uint32_t slots, milliseconds response) {
+    HostSpec spec = makeHost(1);
+    spec.slots = slots;
+    director.setPool(now, {"dispatch", {spec}});
+    const uint32_t token = flowTokenOf(1);
+    for (uint32_t request = 0; request < 40; ++request) {
+      open(++flows);
+      now += milliseconds(10);
+      data(flows, token, 1);
+      now += response;
+      acknowledge(flows, token, 500, 101);
+    }
+    return director.takeSamples();
+  };
+  const auto free = serve(2, milliseconds(40));
+  CHECK_TRUE(free.back().workRatio.has_value());
+  DOUBLES_EQUAL(1.0, *free.back().workRatio, 0.05);
+  // Of a pool that doesn't say its slots nothing is known.
+  CHECK_FALSE(serve(0, milliseconds(40)).back().workRatio.has_value());
+  // One slot, used for nearly the whole time: requests wait for it.
+  CHECK_FALSE(serve(1, milliseconds(400)).back().workRatio.has_value());
+}
+
+TEST(TokenDirector, JudgesTheTimesOfAHostByItsSpeed) {
+  const auto score = [&](uint32_t percent) {
+    director.learnSpeeds(now, {{flowTokenOf(1), percent, 50}});
+    for (uint32_t request = 0; request < 40; ++request) {
+      open(++flows);
+      now += milliseconds(10);
+      data(flows, flowTokenOf(1), 1);
+      now += milliseconds(40);
+      acknowledge(flows, flowTokenOf(1), 500, 101);
+    }
+    return director.takeSamples().back().ratio;
+  };
+  DOUBLES_EQUAL(1.0, score(100), 0.05);
+  CHECK_TRUE(score(50) < 0.75);
+  LONGS_EQUAL(1, director.speeds(now).known);
+  DOUBLES_EQUAL(0.5, director.speeds(now).lowest, 1e-9);
+  CHECK_TRUE(director.takeSpeedChanges().empty());
+  for (const uint32_t percent : {49, 55, 60, 70}) {
+    director.learnSpeeds(now, {{flowTokenOf(1), percent, 50}});
+  }
+  const auto changes = director.takeSpeedChanges();
+  LONGS_EQUAL(2, changes.size());
+  CHECK_TRUE(changes[0].low);
+  CHECK_FALSE(changes[1].low);
+}
+
 TEST(TokenDirector, KeepsWhatIsUsualAcrossConfigurations) {
   serveRepeatable();
   const uint32_t token = flowTokenOf(1);
--- a/test/platform/packet/flow_log_test.cc
+++ b/test/platform/packet/flow_log_test.cc
@@ -115,7 +115,7 @@
       "host=h-1 endpoint=10.128.0.1:8080 avoided=- zone=own leaves_zone=0 silent=0 vanished=0 "
       "slow=0 "
       "slowness=1.0 zone_score=1.0 "
-      "load=0.0 weight=100 candidates=2 catalogue=57 age_ms=1200");
+      "load=0.0 weight=100 speed=1.0 candidates=2 catalogue=57 age_ms=1200");
   LONGS_EQUAL(1, log.counters().openedByPool.at("dispatch").ownZone);
 }
 
