--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -173,8 +173,8 @@
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
-            hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones,
-            silentHosts, speeds);
+            hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones, silentHosts,
+            speeds);
   }
 };
 
--- a/source/common/server/flow_log.cc
+++ b/source/common/server/flow_log.cc
@@ -73,8 +73,8 @@
              << " slowness=" << std::fixed << std::setprecision(1) << evidence.slowness
              << " zone_score=" << evidence.zoneScore << " load=" << std::fixed
              << std::setprecision(1) << evidence.load << " weight=" << evidence.weight
-             << " speed=" << evidence.speed
-             << " candidates=" << evidence.candidates << " catalogue=" << evidence.poolVersion
+             << " speed=" << evidence.speed << " candidates=" << evidence.candidates
+             << " catalogue=" << evidence.poolVersion
              << " age_ms=" << millisecondsOf(text.now - evidence.poolAppliedAt);
 }
 
--- a/source/common/speed/work_times.cc
+++ b/source/common/speed/work_times.cc
@@ -43,12 +43,16 @@
   return (constant + work / speed) / (constant + work);
 }
 
-bool WorkTimes::isKnown() const { return work_.samples() >= kEnoughRequests; }
+bool WorkTimes::isKnown() const {
+  return work_.samples() >= kEnoughRequests;
+}
 
 double WorkTimes::workOf(Duration response) const {
   return std::max(millisecondsOf(response) - network(), kShortestWork);
 }
 
-double WorkTimes::network() const { return std::exp(network_.value()); }
+double WorkTimes::network() const {
+  return std::exp(network_.value());
+}
 
 }  // namespace umberhold
--- a/test/common/token/flow_placement_test.cc
+++ b/test/common/token/flow_placement_test.cc
@@ -138,8 +138,8 @@
   LONGS_EQUAL(300, place(900)[1]);
 }
 
-/** The fast half of the pool drains in the crest of a wave: by number half of it is left, by speed a
- * quarter. Hosts that are cold and new get their allotments beside. */
+/** The fast half of the pool drains in the crest of a wave: by number half of it is left, by speed
+ * a quarter. Hosts that are cold and new get their allotments beside. */
 TEST(FlowPlacement, HostsThatLeaveAreReplacedByTheirWorkNotByTheirNumber) {
   setHosts(4, 4);
   for (uint64_t number = 1; number <= 8; ++number) {
