--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -150,6 +150,7 @@
     if (const auto news = hooks.observations->takeNews()) {
       director.learn(now, news->standings);
       director.learnSilent(now, news->silentHosts);
+      director.learnSpeeds(now, news->speeds);
     }
   }
 
@@ -161,6 +162,13 @@
             << " host=" << pace.host << " slowness=" << pace.slowness;
       }
     }
+    for (const SpeedChange& change : director.takeSpeedChanges()) {
+      if (flowLog.admit(steadyNow(), LineKind::kBelief)) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO)
+            << "event=host_speed_" << (change.low ? "low" : "usual") << " pool=" << change.pool
+            << " host=" << change.host << " speed=" << change.speed;
+      }
+    }
   }
 
   void flushLog() {
@@ -326,6 +334,7 @@
         evacuatedZones.zones.size(),
         director.coldHostCount(steadyNow()),
         director.admission(),
+        director.speeds(steadyNow()),
         path.counters(),
         port->counters(),
         flowLog.counters(),
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -30,6 +30,7 @@
   size_t evacuatedZones = 0;
   size_t coldHosts = 0;
   const Admission& admission;
+  SpeedSummary speeds;
   const PacketCounters& packets;
   const UdpCounters& port;
   const FlowLogCounters& flows;
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -25,6 +25,7 @@
 #include "common/flow/service_lookup.h"
 #include "common/messages/peer_messages.h"
 #include "common/overflow/split_overflow.h"
+#include "common/speed/work_times.h"
 #include "common/token/dead_host_flows.h"
 #include "common/token/flow_placement.h"
 #include "common/token/flow_progress.h"
@@ -57,8 +58,33 @@
   uint32_t token = 0;
   /** As a multiple of the service's usual time. */
   double ratio = 1.0;
+  /** The time that the host worked on it, as a multiple of the service's usual one; nothing where
+   * the request may have waited for a slot. */
+  std::optional<double> workRatio;
 };
 
+/** Speeds of listed hosts, as this node was told; see HostSpeed. */
+struct SpeedSummary {
+  size_t known = 0;
+  /** Hosts that do less than kSlowSpeed. */
+  size_t slow = 0;
+  /** 1 where none is known. */
+  double lowest = 1.0;
+  double highest = 1.0;
+};
+
+/** A host's learnt speed became low, or is no longer; for logs. */
+struct SpeedChange {
+  std::string pool;
+  std::string host;
+  bool low = false;
+  /** See HostSpeed. */
+  double speed = 1.0;
+};
+
+/** Below it a host counts as slow in figures and logs. */
+constexpr double kSlowSpeed = 0.5;
+
 /** See the file comment. Not thread safe. */
 class TokenDirector : public FlowDirector, public ServiceLookup {
  public:
@@ -103,6 +129,11 @@
   std::vector<HostSample> takeSamples() { return std::exchange(samples_, {}); }
   /** What the nodes of the zone together say of hosts. */
   void learn(TimePoint now, const std::vector<HostStanding>& standings);
+  /** The nodes of the zone together find hosts so fast. */
+  void learnSpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds);
+  SpeedSummary speeds(TimePoint now) const;
+  /** @return the hosts whose speed became low, or is no longer, since the last call. */
+  std::vector<SpeedChange> takeSpeedChanges() { return std::exchange(speedChanges_, {}); }
   /** Hosts are silent to all nodes of the zone. */
   void learnSilent(TimePoint now, const std::vector<SilentHost>& silentHosts);
   /** @return what hosts acknowledged or not, of those where that changed since the last call. */
@@ -141,6 +172,7 @@
     /** Callers want an answer within so long; 0: not known. */
     Duration targetLatency{0};
     UsualResponseTime usualTime;
+    WorkTimes workTimes;
 
     OpeningNeeds needs() const { return {name, priority, requestTimeout, targetLatency}; }
   };
@@ -182,13 +214,18 @@
   bool noteProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
   /** The caller continues a flow that may have been opened a moment ago. @return whether it was. */
   bool noteOpened(TimePoint now, const FlowPacket& packet);
+  /** The packet may be the first one after its flow's opening. */
+  void noteRoundTrip(TimePoint now, const FlowPacket& packet);
   /** Learns from the packet how long the host took for its request. @param opened it is
    * the first of its flow. */
   void noteResponse(TimePoint now, const FlowPacket& packet, TokenHost& host, bool opened);
   /** A request ended, or waits beyond all measure. */
   void noteUnderWay(TimePoint now, const ServiceEntry& service, const TokenHost& host,
                     Duration took, bool opened);
-  void noteSample(TimePoint now, TokenHost& host, double ratio);
+  void noteSample(TimePoint now, TokenHost& host, const HostSample& sample);
+  void noteSpeed(TokenHost& host, double speed);
+  /** @return whether requests of the pool hardly wait for slots; false where slots aren't known. */
+  bool hasFreeSlots(TimePoint now, const TokenPool& pool) const;
   void noteSign(TokenHost& host);
   /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
   void noteDead(TimePoint now, const std::set<uint32_t>& tokens);
@@ -230,6 +267,7 @@
   RequestTimer timer_;
   DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
+  std::vector<SpeedChange> speedChanges_;
   /** Tokens of the hosts whose signs changed; each once. */
   std::vector<uint32_t> changedSigns_;
 };
