--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -5,6 +5,8 @@
 
 #include <filesystem>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "bench/support/address_block.h"
 #include "test/soak/world/soak_run.h"
@@ -53,6 +55,10 @@
                                     command);
   TCLAP::ValueArg<std::string> sabotage("", "sabotage", "breaks a promise: " + sabotageList(),
                                         false, "none", "name", command);
+  std::vector<std::string> loads = {"usual", "hard"};
+  TCLAP::ValuesConstraint<std::string> knownLoads(loads);
+  TCLAP::ValueArg<std::string> load("", "load", "what callers ask for and hosts bear", false,
+                                    "hard", &knownLoads, command);
   command.parse(argc, argv);
 
   const auto kind = sabotageNamed(sabotage.getValue());
@@ -70,6 +76,7 @@
   options.seed = seed.getValue();
   options.seconds = seconds.getValue();
   options.sabotage = *kind;
+  options.load = load.getValue() == "hard" ? SoakLoad::kHard : SoakLoad::kUsual;
   options.block = block->number();
   options.program = (self.parent_path() / ".." / ".." / "platform" / "umberhold_edge").string();
   options.folder = keep.getValue().empty() ? Poco::TemporaryFile::tempName() : keep.getValue();
--- a/test/soak/unit/caller_and_host_test.cc
+++ b/test/soak/unit/caller_and_host_test.cc
@@ -40,8 +40,11 @@
   int wrong = 0;
   int forged = 0;
   int resets = 0;
+  int full = 0;
+  std::set<uint64_t> turnedAway;
+  std::set<uint64_t> notRun;
 
-  void start(bool repeatable) {
+  void start(bool repeatable, HostPlan plan = {}) {
     HostHooks hooks;
     hooks.send = [this](const Endpoint&, const std::string& packet) {
       if (random.unit() >= lost) {
@@ -50,8 +53,9 @@
     };
     hooks.opening = [](const FlowName&, const Endpoint&) {};
     hooks.run = [this](const FlowName&, const Request& request) { ++runs[request.id]; };
+    hooks.turnedAway = [this](const Request& request) { turnedAway.insert(request.id); };
+    hooks.full = [this] { ++full; };
     hooks.forged = [this](const EchoPacket&) { ++forged; };
-    HostPlan plan;
     plan.id = "i-1";
     plan.incarnation = 1;
     plan.service = "dispatch";
@@ -64,6 +68,7 @@
     };
     callerHooks.openFlowReset = [this](const FlowName&) { ++resets; };
     callerHooks.wrongAnswer = [this](const std::string&) { ++wrong; };
+    callerHooks.notRun = [this](uint64_t request) { notRun.insert(request); };
     callerHooks.ended = [](TimePoint, bool) {};
     caller = std::make_unique<SoakCaller>(kCaller, 1, habit(repeatable), callerHooks, random);
   }
@@ -112,6 +117,73 @@
   CHECK_TRUE(caller->counts().served > 8);
 }
 
+TEST(CallerAndHost, AHostWithoutRoomTurnsAwayWhatThenHasNotRun) {
+  HostPlan plan;
+  plan.slots = 1;
+  plan.work = seconds(10);  // The caller gives its first request up long before.
+  start(false, plan);
+  play(seconds(5));
+  LONGS_EQUAL(1, runs.size());
+  // The second one, and what followed it, was tried three times each.
+  CHECK_TRUE(turnedAway.size() >= 3);
+  CHECK_TRUE(turnedAway == notRun);
+  LONGS_EQUAL(turnedAway.size(), caller->counts().turnedAway);
+  LONGS_EQUAL(0, turnedAway.count(runs.begin()->first));
+  LONGS_EQUAL(0, wrong + forged + resets);
+}
+
+TEST(CallerAndHost, RequestsWaitForASlotUpToTheQueue) {
+  HostPlan plan;
+  plan.slots = 1;
+  plan.queue = 1;
+  plan.work = milliseconds(3500);
+  start(false, plan);
+  play(seconds(6));
+  LONGS_EQUAL(2, runs.size());
+  LONGS_EQUAL(0, turnedAway.size());
+}
+
+TEST(CallerAndHost, AResetOfTheSystemEndsAnOpenFlowOnlyNearItsAcknowledgement) {
+  start(true);
+  EchoPacket last;
+  for (int step = 0; caller->counts().served < 2 && step < 2000; ++step) {
+    play(milliseconds(2));
+    if (!toHost.empty()) {
+      last = *decode(toHost.back().substr(kAnyHost.size()));
+    }
+  }
+  EchoPacket reset;
+  reset.flags = kRst;
+  reset.source = last.target;
+  reset.sourcePort = last.targetPort;
+  reset.target = last.source;
+  reset.targetPort = last.sourcePort;
+  for (const int64_t away : {int64_t{1} << 20, -(int64_t{1} << 20), int64_t{76801}}) {
+    reset.sequence = static_cast<uint32_t>(last.acknowledged + away);
+    caller->onDatagram(now, encode(reset));
+  }
+  LONGS_EQUAL(0, resets);
+  LONGS_EQUAL(3, caller->counts().strayResets);
+  reset.sequence = last.acknowledged - 1000;
+  caller->onDatagram(now, encode(reset));
+  LONGS_EQUAL(1, resets);
+}
+
+TEST(CallerAndHost, AFullHostSaysNothingToOpenings) {
+  HostPlan plan;
+  plan.mostFlows = 1;
+  start(true, plan);
+  play(seconds(1));
+  LONGS_EQUAL(1, host->openFlowCount());
+  EchoPacket opening;
+  opening.flags = kSyn;
+  opening.source = kCaller + 1;
+  host->onDatagram(now, kNode, kAnyHost + encodeSealed(opening));
+  LONGS_EQUAL(1, full);
+  LONGS_EQUAL(0, toCaller.size());
+  LONGS_EQUAL(1, host->flowCount());
+}
+
 TEST(CallerAndHost, AnEndedHostSaysNothing) {
   start(true);
   play(seconds(1));
--- a/test/soak/unit/evidence_test.cc
+++ b/test/soak/unit/evidence_test.cc
@@ -34,6 +34,29 @@
   LONGS_EQUAL(3 + 2, runs.runs());
 }
 
+TEST(Evidence, WhatWasRefusedMayRunNeitherBeforeNorAfter) {
+  PromiseBook promises(kNow);
+  RunBook runs(promises);
+  runs.onRun(kNow, 7, true, true, "i-1");
+  runs.onNotRun(kNow, 8);
+  LONGS_EQUAL(0, promises.total());
+  runs.onNotRun(kNow, 7);
+  LONGS_EQUAL(1, promises.count(Promise::kRefusedNotRun));
+  runs.onRun(kNow, 8, true, true, "i-1");
+  LONGS_EQUAL(2, promises.count(Promise::kRefusedNotRun));
+}
+
+TEST(Evidence, TheReaderOfAZoneIsToldByItsLog) {
+  const std::string reads =
+      "ts=2026-01-01T00:00:00Z level=info event=read_source reads_store=1 cause=reader\n";
+  std::istringstream never(kLine);
+  CHECK_FALSE(isReaderOfZone(never));
+  std::istringstream now(kLine + reads);
+  CHECK_TRUE(isReaderOfZone(now));
+  std::istringstream before(kLine + reads + kLine);
+  CHECK_FALSE(isReaderOfZone(before));
+}
+
 TEST(Evidence, OnlyTheFirstViolationsOfEachPromiseAreKept) {
   PromiseBook promises(kNow);
   for (int count = 0; count < 100; ++count) {
@@ -105,4 +128,21 @@
   CHECK_FALSE(sabotageNamed("x").has_value());
 }
 
+TEST(Evidence, HardLoadLeavesUsualFaultsAsTheyAreAndEndsWithAShortage) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    for (const Fault& fault : drawFaults(seed, seconds(60))) {
+      CHECK_TRUE(fault.kind < FaultKind::kUsualCount);
+    }
+    const std::vector<Fault> hard = drawHardLoad(seed, seconds(60));
+    TimePoint::duration roomBackAt{0};
+    for (const Fault& fault : hard) {
+      CHECK_TRUE(fault.kind >= FaultKind::kUsualCount && fault.at >= roomBackAt);
+      if (fault.kind != FaultKind::kRestartHost) {
+        roomBackAt = fault.at + fault.lasts;
+      }
+    }
+    CHECK_TRUE(hard.back().kind == FaultKind::kShortRoom && hard.back().at >= seconds(60));
+  }
+}
+
 }  // namespace umberhold::soak
--- /dev/null
+++ b/test/soak/unit/load_watch_test.cc
@@ -0,0 +1,93 @@
+/** @file Each promise of hard load is found broken, and holds where it is kept. */
+#include "test/soak/world/load_watch.h"
+#include "test/support/without_leak_detection.h"
+
+namespace umberhold::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{seconds(100)};
+constexpr Duration kStep = milliseconds(100);
+
+}  // namespace
+
+TEST_GROUP_BASE(LoadWatch, test::WithoutLeakDetection) {
+  PromiseBook promises{kNow};
+  LoadWatch watch{LoadBounds{}, promises};
+
+  /** Requests of two services of a pool end for so long. */
+  void play(TimePoint from, Duration length, bool usualServed, bool urgentServed) {
+    for (TimePoint now = from; now < from + length; now += kStep) {
+      watch.onEnded(now, "dispatch", "usual", now, usualServed);
+      watch.onEnded(now, "dispatch", "urgent", now, urgentServed);
+    }
+  }
+};
+
+TEST(LoadWatch, AServiceThatIsNotServedWhileAnotherIsStarves) {
+  play(kNow, seconds(5), false, true);
+  LONGS_EQUAL(0, promises.total());
+  CHECK_TRUE(watch.longestStarved() > seconds(4));
+  play(kNow + seconds(5), seconds(2), false, true);
+  LONGS_EQUAL(1, promises.count(Promise::kNoServiceStarved));
+}
+
+TEST(LoadWatch, AServiceThatIsServedNowAndThenDoesNotStarve) {
+  for (int round = 0; round < 10; ++round) {
+    const TimePoint from = kNow + round * seconds(5);
+    play(from, seconds(5), false, true);
+    watch.onEnded(from + seconds(5), "dispatch", "usual", from, true);
+  }
+  LONGS_EQUAL(0, promises.total());
+}
+
+TEST(LoadWatch, NoServiceStarvesWhereNoneOfItsPoolIsServed) {
+  play(kNow, seconds(20), false, false);
+  for (TimePoint now = kNow; now < kNow + seconds(20); now += kStep) {
+    watch.onEnded(now, "mapstore", "maps", now, true);
+  }
+  LONGS_EQUAL(0, promises.total());
+}
+
+TEST(LoadWatch, AFullHostMayGetAFewOpeningsASecond) {
+  for (int round = 0; round < 5; ++round) {
+    for (uint32_t opening = 0; opening < LoadBounds{}.openingsToFullHost; ++opening) {
+      watch.onFull(kNow + round * milliseconds(1100), "i-1");
+    }
+  }
+  LONGS_EQUAL(0, promises.total());
+  watch.onFull(kNow + 4 * milliseconds(1100), "i-1");
+  LONGS_EQUAL(1, promises.count(Promise::kFullHostsSpared));
+}
+
+TEST(LoadWatch, TheUsualShareReturnsAfterAShortage) {
+  watch.onRoomBack(kNow);
+  play(kNow, seconds(6), false, false);
+  play(kNow + seconds(6), seconds(2), true, true);
+  watch.tick(kNow + seconds(5), false);  // Not looked at before its time.
+  watch.tick(kNow + seconds(11), true);
+  LONGS_EQUAL(1, watch.returnsJudged());
+  LONGS_EQUAL(0, promises.total());
+}
+
+TEST(LoadWatch, AShareThatDoesNotReturnBreaksThePromise) {
+  watch.onRoomBack(kNow);
+  play(kNow, seconds(7), false, false);
+  play(kNow + seconds(7), seconds(3), true, true);
+  watch.tick(kNow + seconds(5), false);  // Not looked at before its time.
+  watch.tick(kNow + seconds(11), true);
+  LONGS_EQUAL(1, promises.count(Promise::kShareReturns));
+}
+
+TEST(LoadWatch, WhatIsTroubledMeanwhileIsNotJudged) {
+  watch.onRoomBack(kNow);
+  play(kNow, seconds(8), false, false);
+  watch.tick(kNow + seconds(5), false);
+  watch.tick(kNow + seconds(8), false);
+  watch.tick(kNow + seconds(11), true);
+  LONGS_EQUAL(0, watch.returnsJudged() + promises.total());
+}
+
+}  // namespace umberhold::soak
--- a/test/soak/world/deployment_plan.h
+++ b/test/soak/world/deployment_plan.h
@@ -10,6 +10,14 @@
 
 namespace umberhold::soak {
 
+/** What callers ask for and hosts bear. */
+enum class SoakLoad : uint8_t {
+  /** Hosts are alike and take what they get. */
+  kUsual,
+  /** Hosts of uneven speed have slots, a short queue and a cap on flows; at times room is short. */
+  kHard,
+};
+
 /** One node. */
 struct NodePlan {
   std::string name;
--- a/test/soak/world/exchange.cc
+++ b/test/soak/world/exchange.cc
@@ -11,6 +11,7 @@
 constexpr const char* kEndOfHead = "\r\n\r\n";
 constexpr const char* kLengthHeader = "Content-Length";
 constexpr const char* kServiceHeader = "Service";
+constexpr const char* kNotRunHeader = "Umberhold-Not-Executed";
 constexpr const char* kWantedHeader = "Answer-Bytes";
 /** Bytes that a request which may run once only carries. */
 constexpr uint32_t kPostedBytes = 900;
@@ -85,6 +86,11 @@
          "\r\n" + bodyOf(request.id, request.answerBytes);
 }
 
+std::string refusalText(const Request& request) {
+  return "HTTP/1.1 503 Service Unavailable\r\n" + line(kRequestHeader, std::to_string(request.id)) +
+         line(kNotRunHeader, "1") + line(kLengthHeader, "0") + "\r\n";
+}
+
 std::optional<Request> takeRequest(std::string& text) {
   const auto message = takeMessage(text);
   if (!message) {
@@ -103,7 +109,7 @@
     return std::nullopt;
   }
   return Answer{numberOf(message->head, kRequestHeader), valueOf(message->head, kServiceHeader),
-                std::move(message->body)};
+                std::move(message->body), !valueOf(message->head, kNotRunHeader).empty()};
 }
 
 }  // namespace umberhold::soak
--- a/test/soak/world/exchange.h
+++ b/test/soak/world/exchange.h
@@ -25,10 +25,14 @@
   uint64_t id = 0;
   std::string service;
   std::string body;
+  /** The host turned the request away and did not run it. */
+  bool notRun = false;
 };
 
 std::string requestText(const Request& request);
 std::string answerText(const Request& request, const std::string& service);
+/** A host that has enough to do turns the request away: it has not run. */
+std::string refusalText(const Request& request);
 /** @return the body that an answer to the request must have. */
 std::string bodyOf(uint64_t id, uint32_t bytes);
 
--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "common/base/hash.h"
 #include "common/base/random.h"
 
 namespace umberhold::soak {
@@ -11,6 +12,11 @@
 constexpr double kMeanGapSeconds = 2.0;
 constexpr double kShortestSeconds = 1.0;
 constexpr double kLongestSeconds = 5.0;
+constexpr double kMeanHardLoadGapSeconds = 5.0;
+constexpr uint64_t kHardLoadStream = 1;
+/** Longer than the bound within which new flows no longer go to hosts that leave (3 s), and than
+ * the time for which a service may go without an answer (6 s). */
+constexpr Duration kShortage = std::chrono::seconds(8);
 
 Duration secondsOf(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -60,6 +66,14 @@
       return "reload_settings";
     case FaultKind::kReloadBadSettings:
       return "reload_bad_settings";
+    case FaultKind::kShortRoom:
+      return "short_room";
+    case FaultKind::kShortSplit:
+      return "short_split";
+    case FaultKind::kRestartHost:
+      return "restart_host";
+    case FaultKind::kKillReader:
+      return "kill_reader";
     case FaultKind::kCount:
       break;
   }
@@ -72,7 +86,8 @@
   Duration at = secondsOf(kShortestSeconds);
   while (at < length) {
     Fault fault;
-    fault.kind = static_cast<FaultKind>(random.below(static_cast<uint64_t>(FaultKind::kCount)));
+    fault.kind =
+        static_cast<FaultKind>(random.below(static_cast<uint64_t>(FaultKind::kUsualCount)));
     fault.at = at;
     fault.lasts =
         secondsOf(kShortestSeconds + random.unit() * (kLongestSeconds - kShortestSeconds));
@@ -83,4 +98,24 @@
   return faults;
 }
 
+std::vector<Fault> drawHardLoad(uint64_t seed, Duration length) {
+  RandomSource random(mixHash(seed, kHardLoadStream));
+  std::vector<Fault> faults;
+  Duration at = secondsOf(kMeanHardLoadGapSeconds * random.unit());
+  Duration lastEnd = length;
+  while (at < length) {
+    constexpr auto kFirst = static_cast<uint64_t>(FaultKind::kShortRoom);
+    const uint64_t kinds = static_cast<uint64_t>(FaultKind::kKillReader) - kFirst;
+    const auto kind = static_cast<FaultKind>(kFirst + random.below(kinds));
+    faults.push_back({kind, at, kShortage, random.below(UINT32_MAX)});
+    if (kind != FaultKind::kRestartHost) {
+      at += kShortage;
+      lastEnd = std::max(lastEnd, at);
+    }
+    at += secondsOf(2 * kMeanHardLoadGapSeconds * random.unit());
+  }
+  faults.push_back({FaultKind::kShortRoom, lastEnd, kShortage, random.below(UINT32_MAX)});
+  return faults;
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_plan.h
+++ b/test/soak/world/fault_plan.h
@@ -30,6 +30,16 @@
   kBigConfiguration,
   kReloadSettings,
   kReloadBadSettings,
+  /** The kinds above strike under usual load too. */
+  kUsualCount,
+  /** Most hosts of the main service leave, then several times the callers come. */
+  kShortRoom = kUsualCount,
+  /** All hosts but one leave that a split shares with the main service. */
+  kShortSplit,
+  /** A host starts again under its id. */
+  kRestartHost,
+  /** While room is short, the reader of a zone is killed. Drawn with a shortage only. */
+  kKillReader,
   kCount,
 };
 
@@ -52,5 +62,8 @@
  * @return faults by time, several at once at times; every kind has the same chance.
  */
 std::vector<Fault> drawFaults(uint64_t seed, Duration length);
+/** As drawFaults(), the kinds of hard load; drawn apart, so that a seed's other faults stay as they
+ * are. At the end room is short in any case. */
+std::vector<Fault> drawHardLoad(uint64_t seed, Duration length);
 
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_player.cc
+++ b/test/soak/world/fault_player.cc
@@ -20,6 +20,10 @@
 constexpr auto kStoreSlow = std::chrono::milliseconds(200);
 /** Fewer serving hosts than this are left alone. */
 constexpr size_t kFewestHosts = 8;
+/** Hosts that are left where room is short. */
+constexpr size_t kMainHostsLeft = 3;
+constexpr size_t kSplitHostsLeft = 1;
+constexpr Duration kRetryGap = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -74,8 +78,10 @@
 
 void FaultPlayer::strike(TimePoint now, const Fault& fault) {
   ++counts_[fault.kind];
-  if (fault.kind <= FaultKind::kRollingRestart || fault.kind == FaultKind::kReloadSettings ||
-      fault.kind == FaultKind::kReloadBadSettings || fault.kind == FaultKind::kLossyFabric) {
+  if (fault.kind >= FaultKind::kUsualCount) {
+    strikeHardLoad(now, fault);
+  } else if (fault.kind <= FaultKind::kRollingRestart || fault.kind == FaultKind::kReloadSettings ||
+             fault.kind == FaultKind::kReloadBadSettings || fault.kind == FaultKind::kLossyFabric) {
     strikeNode(now, fault);
   } else if (fault.kind <= FaultKind::kCutFromStore) {
     strikeStore(now, fault);
@@ -270,6 +276,58 @@
   world_.hosts().start(now, plan.service, plan.zone);
 }
 
+void FaultPlayer::strikeHardLoad(TimePoint now, const Fault& fault) {
+  if (fault.kind != FaultKind::kRestartHost) {
+    shortenRoom(now, fault);
+    return;
+  }
+  const std::lock_guard lock(world_.mutex());
+  const std::vector<size_t> serving = world_.hosts().serving();
+  if (!serving.empty()) {
+    world_.hosts().restart(serving[fault.choice % serving.size()]);
+  }
+}
+
+void FaultPlayer::shortenRoom(TimePoint now, const Fault& fault) {
+  if (storeTroubled_) {  // A host leaves once the store has taken that.
+    at(now + kRetryGap, [this, fault](TimePoint later) { shortenRoom(later, fault); });
+    return;
+  }
+  const bool isMain = fault.kind == FaultKind::kShortRoom;
+  const std::string service = isMain ? "dispatch" : "mapstore";
+  const std::lock_guard lock(world_.mutex());
+  const std::vector<size_t> serving = world_.hosts().serving(service);
+  const size_t left = std::min(serving.size(), isMain ? kMainHostsLeft : kSplitHostsLeft);
+  for (size_t index = left; index < serving.size(); ++index) {
+    world_.hosts().leave(now, serving[index]);
+  }
+  world_.setCrowd(isMain);
+  world_.load().onRoomShort();
+  if (fault.choice % 2 == 0) {
+    at(now + fault.lasts / 2, [this](TimePoint later) { killReader(later); });
+  }
+  const size_t gone = serving.size() - left;
+  at(now + fault.lasts,
+     [this, service, gone](TimePoint later) { giveRoomBack(later, service, gone); });
+}
+
+void FaultPlayer::giveRoomBack(TimePoint now, const std::string& service, size_t hosts) {
+  const std::lock_guard lock(world_.mutex());
+  for (size_t index = 0; index < hosts; ++index) {
+    world_.hosts().start(now, service, plan_.zones()[index % plan_.zones().size()]);
+  }
+  world_.setCrowd(false);
+  world_.load().onRoomBack(now);
+}
+
+void FaultPlayer::killReader(TimePoint now) {
+  const auto reader = nodes_.readerOfZone();
+  if (reader) {
+    ++counts_[FaultKind::kKillReader];
+    killNode(now, *reader);
+  }
+}
+
 void FaultPlayer::strikeConfiguration(TimePoint now, const Fault& fault) {
   const auto store = [this](uint32_t extraRoutes) {
     if (!storeTroubled_) {
--- a/test/soak/world/fault_player.h
+++ b/test/soak/world/fault_player.h
@@ -51,6 +51,11 @@
   void loseFabric(TimePoint now, const Fault& fault);
   void drainHosts(TimePoint now, const Fault& fault);
   void crashHost(TimePoint now, const Fault& fault, bool reuse);
+  void strikeHardLoad(TimePoint now, const Fault& fault);
+  void shortenRoom(TimePoint now, const Fault& fault);
+  /** Starts so many hosts of the service; the crowd goes. */
+  void giveRoomBack(TimePoint now, const std::string& service, size_t hosts);
+  void killReader(TimePoint now);
   void restarted(TimePoint now);
 
   void begin(const std::string& struck, Cause cause, TimePoint now);
--- a/test/soak/world/host_fleet.cc
+++ b/test/soak/world/host_fleet.cc
@@ -1,5 +1,7 @@
 #include "test/soak/world/host_fleet.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "common/base/hash.h"
@@ -15,11 +17,22 @@
 constexpr double kLongestStay = 2.0;
 /** Every so many-th host that leaves loses its entry without saying that it drains. */
 constexpr uint64_t kSilentLeavers = 3;
+/** Work time of the fastest host, and by how much a slower one exceeds it at most. */
+constexpr uint64_t kFastestMillis = 5;
+constexpr uint64_t kSlowerMillis = 20;
+constexpr uint32_t kSlotsOfHost = 2;
+constexpr uint32_t kQueue = 8;
 
 Duration partOf(Duration most, double part) {
   return Duration{static_cast<Duration::rep>(static_cast<double>(most.count()) * part)};
 }
 
+uint64_t unixMillis() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
 std::string idOf(uint64_t incarnation) {
   constexpr const char* kDigits = "0123456789abcdef";
   std::string digits;
@@ -32,8 +45,8 @@
 }  // namespace
 
 HostFleet::HostFleet(const DeploymentPlan& plan, test::StandinObjects& objects,
-                     std::function<HostHooks(size_t)> hooks, RandomSource& random)
-    : plan_(plan), objects_(objects), hooks_(std::move(hooks)), random_(random) {
+                     std::function<HostHooks(size_t)> hooks, RandomSource& random, SoakLoad load)
+    : plan_(plan), objects_(objects), hooks_(std::move(hooks)), random_(random), load_(load) {
   for (uint32_t number = 0; number < kSlots; ++number) {
     slots_.emplace_back().address = plan_.hostAddress(number);
   }
@@ -64,9 +77,26 @@
   host.service = service;
   host.zone = zone;
   host.address = slots_[slot].address;
+  if (load_ == SoakLoad::kHard) {
+    host.work = std::chrono::milliseconds(kFastestMillis + host.incarnation % kSlowerMillis);
+    host.slots = kSlotsOfHost;
+    host.queue = kQueue;
+    host.mostFlows = kMostFlows;
+    host.born = unixMillis();
+  }
+  runHost(slot, host);
+}
+
+void HostFleet::restart(size_t slot) {
+  HostPlan host = slots_[slot].host->plan();
+  host.born = std::max(unixMillis(), host.born + 1);
+  runHost(slot, host);
+}
+
+void HostFleet::runHost(size_t slot, HostPlan host) {
   HostSlot fresh;
   fresh.address = host.address;
-  fresh.host = std::make_unique<SoakHost>(host, hooks_(slot), random_);
+  fresh.host = std::make_unique<SoakHost>(std::move(host), hooks_(slot), random_);
   slots_[slot] = std::move(fresh);
   enter(slots_[slot]);
 }
@@ -77,7 +107,8 @@
   objects_.set("servers", host.id,
                R"({"service":")" + host.service + R"(","address":")" + toString(host.address) +
                    R"(","zone":")" + host.zone + R"(","version":"v1","slots":2,"state":")" +
-                   (draining ? "draining" : "ready") + R"(","cold_remaining_ms":0,"sequence":1})");
+                   (draining ? "draining" : "ready") + R"(","cold_remaining_ms":0,"sequence":1)" +
+                   (host.born == 0 ? "" : R"(,"born":)" + std::to_string(host.born)) + "}");
 }
 
 void HostFleet::withdraw(const HostSlot& slot) {
@@ -89,6 +120,10 @@
   if (!start(now, old.service, old.zone)) {
     return;
   }
+  leave(now, slot);
+}
+
+void HostFleet::leave(TimePoint now, size_t slot) {
   HostSlot& leaving = slots_[slot];
   leaving.leavesSilently = random_.below(kSilentLeavers) == 0;
   leaving.leavesSince = now;
@@ -163,6 +198,14 @@
   return found;
 }
 
+std::vector<size_t> HostFleet::serving(const std::string& service) const {
+  std::vector<size_t> found = serving();
+  std::erase_if(found, [this, &service](size_t slot) {
+    return slots_[slot].host->plan().service != service;
+  });
+  return found;
+}
+
 std::optional<size_t> HostFleet::holderOf(const FlowName& flow) const {
   for (size_t slot = 0; slot < slots_.size(); ++slot) {
     if (slots_[slot].host && slots_[slot].host->holds(flow)) {
--- a/test/soak/world/host_fleet.h
+++ b/test/soak/world/host_fleet.h
@@ -35,13 +35,20 @@
 /** See the file comment. Not thread safe. */
 class HostFleet {
  public:
+  /** Open flows of a host at most, under hard load. */
+  static constexpr uint32_t kMostFlows = 96;
+
   /** @param objects, random borrowed. @param hooks what each host tells, given its slot. */
   HostFleet(const DeploymentPlan& plan, test::StandinObjects& objects,
-            std::function<HostHooks(size_t slot)> hooks, RandomSource& random);
+            std::function<HostHooks(size_t slot)> hooks, RandomSource& random, SoakLoad load);
 
   /** Starts a host of the service at a free address; @return its slot, or nothing if none is free.
    */
   std::optional<size_t> start(TimePoint now, const std::string& service, const std::string& zone);
+  /** The host leaves, and ends some time later. */
+  void leave(TimePoint now, size_t slot);
+  /** The host starts again at once, under its id; it holds nothing of before. */
+  void restart(size_t slot);
   /** Starts a successor, and has the host leave. */
   void replace(TimePoint now, size_t slot);
   /** The host ends without a word; its entry goes after three heartbeats. */
@@ -55,6 +62,7 @@
 
   /** @return slots with a host that takes new flows. */
   std::vector<size_t> serving() const;
+  std::vector<size_t> serving(const std::string& service) const;
   /** @return the slot of the living host that holds the flow open. */
   std::optional<size_t> holderOf(const FlowName& flow) const;
   std::vector<HostSlot>& slots() { return slots_; }
@@ -63,6 +71,7 @@
  private:
   std::optional<size_t> freeSlot(TimePoint now) const;
   void startAt(size_t slot, const std::string& service, const std::string& zone);
+  void runHost(size_t slot, HostPlan host);
   void enter(const HostSlot& slot);
   void withdraw(const HostSlot& slot);
 
@@ -70,6 +79,7 @@
   test::StandinObjects& objects_;
   std::function<HostHooks(size_t)> hooks_;
   RandomSource& random_;
+  const SoakLoad load_;
   std::vector<HostSlot> slots_;
   uint64_t nextIncarnation_ = 1;
   /** Reuses that wait for their address: slot and service. */
--- /dev/null
+++ b/test/soak/world/load_watch.cc
@@ -0,0 +1,89 @@
+#include "test/soak/world/load_watch.h"
+
+#include <algorithm>
+
+namespace umberhold::soak {
+namespace {
+
+constexpr Duration kFullWindow = std::chrono::seconds(1);
+/** Requests that begin in the judged time end within their callers' deadlines. */
+constexpr Duration kEndPatience = std::chrono::seconds(3);
+
+}  // namespace
+
+void LoadWatch::onEnded(TimePoint now, const std::string& pool, const std::string& service,
+                        TimePoint begunAt, bool served) {
+  if (roomBackAt_ && begunAt >= *roomBackAt_ + bounds_.returns &&
+      begunAt < *roomBackAt_ + bounds_.returns + bounds_.judged) {
+    ++returned_.all;
+    returned_.served += served ? 1 : 0;
+  }
+  std::map<std::string, Hunger>& services = hunger_[pool];
+  Hunger& own = services[service];
+  if (served) {
+    for (auto& [name, other] : services) {
+      other.othersServed += name == service ? 0 : 1;
+    }
+    own = {};
+    return;
+  }
+  if (!own.since) {
+    own = {now, 0, 0};
+  }
+  ++own.unserved;
+  if (own.unserved < bounds_.fewestEnds || own.othersServed < bounds_.fewestEnds) {
+    return;
+  }
+  const Duration starved = now - *own.since;
+  longestStarved_ = std::max(longestStarved_, starved);
+  if (starved > bounds_.starved) {
+    promises_.broken(
+        now, Promise::kNoServiceStarved,
+        service + " for " + std::to_string(std::chrono::duration<double>(starved).count()) + " s");
+    own = {};
+  }
+}
+
+void LoadWatch::onFull(TimePoint now, const std::string& host) {
+  std::deque<TimePoint>& recent = full_[host];
+  recent.push_back(now);
+  while (now - recent.front() > kFullWindow) {
+    recent.pop_front();
+  }
+  if (recent.size() > bounds_.openingsToFullHost) {
+    promises_.broken(now, Promise::kFullHostsSpared,
+                     std::to_string(recent.size()) + " openings to " + host);
+    recent.clear();
+  }
+}
+
+void LoadWatch::onRoomBack(TimePoint now) {
+  roomBackAt_ = now;
+  returned_ = {};
+}
+
+void LoadWatch::tick(TimePoint now, bool inTouch) {
+  if (!roomBackAt_ || now < *roomBackAt_ + bounds_.returns) {
+    return;
+  }
+  if (!inTouch) {
+    roomBackAt_.reset();
+    return;
+  }
+  if (now < *roomBackAt_ + bounds_.returns + bounds_.judged + kEndPatience) {
+    return;
+  }
+  roomBackAt_.reset();
+  if (returned_.all < bounds_.fewestEnds) {
+    return;
+  }
+  ++returnsJudged_;
+  const double share = static_cast<double>(returned_.served) / static_cast<double>(returned_.all);
+  if (share < bounds_.usualShare) {
+    promises_.broken(
+        now, Promise::kShareReturns,
+        "served " + std::to_string(returned_.served) + " of " + std::to_string(returned_.all));
+  }
+}
+
+}  // namespace umberhold::soak
--- a/test/soak/world/node_evidence.cc
+++ b/test/soak/world/node_evidence.cc
@@ -17,6 +17,19 @@
          static_cast<double>(log.lines) <= limits.linesPerSecond * seconds;
 }
 
+bool isReaderOfZone(std::istream& log) {
+  bool reads = false;
+  std::string line;
+  while (std::getline(log, line)) {
+    if (line.find(" event=started ") != std::string::npos) {
+      reads = false;
+    } else if (line.find(" event=read_source ") != std::string::npos) {
+      reads = line.find("reads_store=1 cause=reader") != std::string::npos;
+    }
+  }
+  return reads;
+}
+
 LogSummary summarizeLog(std::istream& log) {
   LogSummary summary;
   std::string line;
--- a/test/soak/world/node_evidence.h
+++ b/test/soak/world/node_evidence.h
@@ -33,6 +33,8 @@
 
 /** @param log lines of one node, over all its lives. */
 LogSummary summarizeLog(std::istream& log);
+/** @param log of one node. @return whether it last said that it reads the store for its zone. */
+bool isReaderOfZone(std::istream& log);
 /** @return whether the node was measured and kept the limits. */
 bool isWithin(const NodeLimits& limits, const NodePeak& peak);
 /**
--- a/test/soak/world/node_processes.cc
+++ b/test/soak/world/node_processes.cc
@@ -74,6 +74,16 @@
   return restarted;
 }
 
+std::optional<size_t> NodeProcesses::readerOfZone() const {
+  for (size_t node = 0; node < plan_.nodes().size(); ++node) {
+    std::ifstream log(logFile(node));
+    if (isReaderOfZone(log)) {
+      return node;
+    }
+  }
+  return std::nullopt;
+}
+
 void NodeProcesses::measure() {
   for (size_t node = 0; node < plan_.nodes().size(); ++node) {
     const auto usage = processes_.usage(plan_.nodes()[node].name);
--- a/test/soak/world/node_processes.h
+++ b/test/soak/world/node_processes.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   void measure();
   const std::vector<NodePeak>& peaks() const { return peaks_; }
   std::string logFile(size_t node) const;
+  /** @return a node that reads the store for its zone. */
+  std::optional<size_t> readerOfZone() const;
   /** Ends all nodes; no node is started again. */
   void endAll();
 
--- a/test/soak/world/promises.cc
+++ b/test/soak/world/promises.cc
@@ -30,6 +30,14 @@
       return "open_flows_stay";
     case Promise::kRecovery:
       return "recovery";
+    case Promise::kRefusedNotRun:
+      return "refused_not_run";
+    case Promise::kNoServiceStarved:
+      return "no_service_starved";
+    case Promise::kFullHostsSpared:
+      return "full_hosts_spared";
+    case Promise::kShareReturns:
+      return "share_returns";
     case Promise::kBoundedNodes:
       return "bounded_nodes";
     case Promise::kReadableLogs:
@@ -54,6 +62,10 @@
                     const std::string& host) {
   ++runs_;
   const std::string detail = "request " + std::to_string(request) + " at " + host;
+  ran_.insert(request);
+  if (notRun_.contains(request)) {
+    promises_.broken(now, Promise::kRefusedNotRun, detail + ", after its refusal");
+  }
   if (!allowed) {
     promises_.broken(now, Promise::kRightService, detail);
   }
@@ -62,4 +74,11 @@
   }
 }
 
+void RunBook::onNotRun(TimePoint now, uint64_t request) {
+  notRun_.insert(request);
+  if (ran_.contains(request)) {
+    promises_.broken(now, Promise::kRefusedNotRun, "request " + std::to_string(request));
+  }
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/promises.h
+++ b/test/soak/world/promises.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "common/base/time.h"
@@ -23,6 +24,12 @@
   kNoOlderConfiguration,
   kOpenFlowsStay,
   kRecovery,
+  /** A try that its caller knows not to have run has run. */
+  kRefusedNotRun,
+  /** See load_watch.h. */
+  kNoServiceStarved,
+  kFullHostsSpared,
+  kShareReturns,
   kBoundedNodes,
   kReadableLogs,
   kCount,
@@ -62,11 +69,15 @@
   /** A host began to work on a request. @param allowed whether its service may run it. */
   void onRun(TimePoint now, uint64_t request, bool repeatable, bool allowed,
              const std::string& host);
+  /** A caller knows that the try has not run. */
+  void onNotRun(TimePoint now, uint64_t request);
   uint64_t runs() const { return runs_; }
 
  private:
   PromiseBook& promises_;
   std::unordered_map<uint64_t, uint32_t> unrepeatable_;
+  std::unordered_set<uint64_t> ran_;
+  std::unordered_set<uint64_t> notRun_;
   uint64_t runs_ = 0;
 };
 
--- a/test/soak/world/route_book.cc
+++ b/test/soak/world/route_book.cc
@@ -1,7 +1,9 @@
 #include "test/soak/world/route_book.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
+#include <utility>
 
 namespace umberhold::soak {
 namespace {
@@ -20,10 +22,15 @@
 }
 
 void writeRoute(std::ostream& text, const std::string& name, const Endpoint& listen,
-                bool repeatable, const std::vector<std::pair<std::string, uint32_t>>& parts) {
+                bool repeatable, const std::vector<std::pair<std::string, uint32_t>>& parts,
+                std::optional<uint32_t> priority = std::nullopt) {
   text << R"({"name":")" << name << R"(","host":")" << addressToString(listen.address)
        << R"(","path_prefix":"/)" << listen.port << R"(/","kind":")"
-       << (repeatable ? "safe" : "unsafe") << R"(","timeout_ms":3000,"traffic_split":[)";
+       << (repeatable ? "safe" : "unsafe") << R"(","timeout_ms":3000,)";
+  if (priority) {
+    text << R"("priority":)" << *priority << ",";
+  }
+  text << R"("traffic_split":[)";
   for (size_t index = 0; index < parts.size(); ++index) {
     text << (index == 0 ? "" : ",") << R"({"service":")" << parts[index].first << R"(","weight":)"
          << parts[index].second << "}";
@@ -34,8 +41,12 @@
 }  // namespace
 
 RouteBook::RouteBook(const DeploymentPlan& plan, std::vector<CallerRoute> routes,
-                     PromiseBook& promises, const ContactRecord& contact)
-    : plan_(plan), routes_(std::move(routes)), promises_(promises), contact_(contact) {}
+                     PromiseBook& promises, const ContactRecord& contact, RouteBookOptions options)
+    : plan_(plan),
+      routes_(std::move(routes)),
+      promises_(promises),
+      contact_(contact),
+      options_(std::move(options)) {}
 
 bool RouteBook::isMarker(const Endpoint& service) {
   return service.address == kMarkerAddress;
@@ -47,7 +58,7 @@
   text << R"({"version":)" << version() * 10 << R"(,"routes":[)";
   const auto& anyService = routes_.front().parts;
   for (const CallerRoute& route : routes_) {
-    writeRoute(text, route.name, route.listen, route.repeatable, route.parts);
+    writeRoute(text, route.name, route.listen, route.repeatable, route.parts, route.priority);
     text << ",";
   }
   for (uint32_t extra = 0; extra < extraRoutes; ++extra) {
@@ -57,11 +68,19 @@
   }
   const uint64_t oldest = version() >= kMarkersKept ? version() - kMarkersKept + 1 : 1;
   for (uint64_t marker = oldest; marker <= version(); ++marker) {
-    writeRoute(text, "marker-" + std::to_string(marker), markerEndpoint(marker), true, anyService);
+    writeRoute(text, "marker-" + std::to_string(marker), markerEndpoint(marker), true,
+               {{options_.markerService, 1}});
     text << (marker < version() ? "," : "");
   }
-  text << R"(],"services":[{"name":"dispatch","max_connections":2000},)"
-       << R"({"name":"mapstore","max_connections":2000}],"limits":{"idle_timeout_ms":15000}})";
+  text << R"(],"services":[)";
+  std::string separator;
+  for (const std::string& service :
+       std::set<std::string>{"dispatch", "mapstore", options_.markerService}) {
+    text << separator << R"({"name":")" << service << R"(","max_connections":)"
+         << options_.mostFlows << "}";
+    separator = ",";
+  }
+  text << R"(],"limits":{"idle_timeout_ms":15000}})";
   return text.str();
 }
 
--- a/test/soak/world/route_book.h
+++ b/test/soak/world/route_book.h
@@ -29,6 +29,8 @@
   bool repeatable = true;
   /** Services with their weights. */
   std::vector<std::pair<std::string, uint32_t>> parts;
+  /** 0 is the most urgent; none: the configuration doesn't say. */
+  std::optional<uint32_t> priority = std::nullopt;
 };
 
 /** A probe that is under way. */
@@ -40,12 +42,21 @@
   uint32_t life = 0;
 };
 
+/** What a configuration says beside its routes. */
+struct RouteBookOptions {
+  /** `max_connections` of each service. */
+  uint32_t mostFlows = 2000;
+  /** Whose hosts markers lead to. Where room is short they are others than the callers', so that a
+   * node which refuses a probe can't do so for lack of room. */
+  std::string markerService = "dispatch";
+};
+
 /** See the file comment. Not thread safe. */
 class RouteBook {
  public:
   /** @param plan, promises, contact borrowed. */
   RouteBook(const DeploymentPlan& plan, std::vector<CallerRoute> routes, PromiseBook& promises,
-            const ContactRecord& contact);
+            const ContactRecord& contact, RouteBookOptions options = {});
 
   /** Makes the next version, with `extra` routes that nobody uses. @return its text. */
   std::string nextVersion(uint32_t extraRoutes);
@@ -62,6 +73,7 @@
   /** The probe's opening was refused. */
   void onRefused(TimePoint now, uint16_t callerPort);
 
+  const std::vector<CallerRoute>& routes() const { return routes_; }
   static bool isMarker(const Endpoint& service);
   uint64_t probes() const { return probes_; }
   uint64_t version() const { return versions_.empty() ? 0 : versions_.back().number; }
@@ -97,6 +109,7 @@
   const std::vector<CallerRoute> routes_;
   PromiseBook& promises_;
   const ContactRecord& contact_;
+  const RouteBookOptions options_;
   std::vector<Version> versions_;
   std::map<size_t, Shown> shown_;
   std::map<uint16_t, Probe> underWay_;
--- a/test/soak/world/sabotage.cc
+++ b/test/soak/world/sabotage.cc
@@ -22,6 +22,8 @@
       return "resets_flows";
     case Sabotage::kNeverRecovers:
       return "never_recovers";
+    case Sabotage::kIgnoresRoom:
+      return "ignores_room";
     case Sabotage::kCount:
       break;
   }
--- a/test/soak/world/sabotage.h
+++ b/test/soak/world/sabotage.h
@@ -28,6 +28,9 @@
   kResetsFlows,
   /** A part of the packets is lost for good after the last fault. */
   kNeverRecovers,
+  /** Requests that hosts turn away are run nevertheless, and nothing of one service reaches its
+   * hosts. */
+  kIgnoresRoom,
   kCount,
 };
 
--- a/test/soak/world/soak_caller.cc
+++ b/test/soak/world/soak_caller.cc
@@ -12,6 +12,9 @@
 constexpr Duration kOpeningPatience = std::chrono::milliseconds(1400);
 /** Well below the longest life of a flow. */
 constexpr Duration kFlowLife = std::chrono::seconds(20);
+/** A reset by the system ends an open flow if its number is within this of the last
+ * acknowledgement. */
+constexpr uint32_t kResetWindow = 76800;
 constexpr uint16_t kFirstPort = 10000;
 constexpr uint16_t kLastPort = 60000;
 /** Requests of one caller are numbered within this. */
@@ -113,6 +116,13 @@
 void SoakCaller::onReset(TimePoint now, const EchoPacket& packet) {
   const bool wasOpen = phase_ == Phase::kOpen;
   const bool bySystem = packet.sum == 0;
+  if (bySystem && wasOpen) {
+    const uint32_t ahead = packet.sequence - stream_->acknowledged();
+    if (ahead > kResetWindow && -ahead > kResetWindow) {
+      ++counts_.strayResets;
+      return;
+    }
+  }
   ++(bySystem ? counts_.systemResets : counts_.hostResets);
   counts_.openingsRefused += bySystem && !wasOpen ? 1 : 0;
   if (bySystem && wasOpen) {
@@ -148,6 +158,12 @@
     hooks_.wrongAnswer("an answer to request " + std::to_string(answer.id));
     return;
   }
+  if (answer.notRun) {
+    ++counts_.turnedAway;
+    closeFlow(now);  // A further try takes a new flow.
+    failTry(now, false);
+    return;
+  }
   if (answer.body != bodyOf(answer.id, habit_.answerBytes)) {
     hooks_.wrongAnswer("another body for request " + std::to_string(answer.id));
   }
@@ -155,6 +171,9 @@
 }
 
 void SoakCaller::failTry(TimePoint now, bool ran) {
+  if (!ran) {
+    hooks_.notRun(wanted_->request.id);
+  }
   const bool mayRepeat = habit_.repeatable || !ran;
   if (mayRepeat && wanted_->tries <= habit_.retries && now - wanted_->begunAt < habit_.deadline) {
     tryOnce(now);
--- a/test/soak/world/soak_caller.h
+++ b/test/soak/world/soak_caller.h
@@ -35,7 +35,11 @@
   uint64_t openingsRefused = 0;
   uint64_t openingsUnanswered = 0;
   uint64_t systemResets = 0;
+  /** Resets whose number no flow that is open takes, as of an opening sent again. */
+  uint64_t strayResets = 0;
   uint64_t hostResets = 0;
+  /** Tries that hosts turned away. */
+  uint64_t turnedAway = 0;
 };
 
 /** What a caller tells the world. Each must be set. */
@@ -45,6 +49,8 @@
   std::function<void(const FlowName& flow)> openFlowReset;
   /** Something came that is no whole answer to what was asked, or was written by nobody. */
   std::function<void(const std::string& detail)> wrongAnswer;
+  /** A try ended of which the caller knows that it has not run, and will not. */
+  std::function<void(uint64_t request)> notRun;
   /** A request ended. @param at when it began. */
   std::function<void(TimePoint at, bool served)> ended;
 };
@@ -58,8 +64,9 @@
 
   void onDatagram(TimePoint now, std::string_view bytes);
   void tick(TimePoint now);
-  /** No further request begins. */
+  /** No further request begins, until start(). */
   void stop() { stopping_ = true; }
+  void start() { stopping_ = false; }
   const CallerCounts& counts() const { return counts_; }
   uint32_t address() const { return address_; }
 
--- a/test/soak/world/soak_host.cc
+++ b/test/soak/world/soak_host.cc
@@ -44,7 +44,9 @@
 }
 
 SoakHost::SoakHost(HostPlan plan, HostHooks hooks, RandomSource& random)
-    : plan_(std::move(plan)), hooks_(std::move(hooks)), random_(random) {}
+    : plan_(std::move(plan)), hooks_(std::move(hooks)), random_(random) {
+  slotsFreeAt_.resize(plan_.slots);
+}
 
 void SoakHost::onDatagram(TimePoint now, const Endpoint& node, std::string_view bytes) {
   if (mood_ == HostMood::kEnded || bytes.size() < kIncarnationBytes) {
@@ -83,6 +85,10 @@
   hooks_.opening(name, node);
   auto found = flows_.find(name);
   if (found == flows_.end()) {
+    if (plan_.mostFlows > 0 && openFlowCount() >= plan_.mostFlows) {
+      hooks_.full();
+      return;
+    }
     const auto first = static_cast<uint32_t>(random_.below(UINT32_MAX));
     Flow flow{StreamEnd(addressesOf(name), first + 1, packet.sequence + 1),
               first,
@@ -118,14 +124,39 @@
 
 void SoakHost::takeRequests(TimePoint now, const FlowName& name, Flow& flow) {
   while (const auto request = takeRequest(flow.text)) {
-    hooks_.run(name, *request);
-    flow.jobs.push_back({*request, now + plan_.work});
+    const std::optional<TimePoint> doneAt = takeSlot(now);
+    if (doneAt) {
+      hooks_.run(name, *request);
+    } else {
+      hooks_.turnedAway(*request);
+    }
+    flow.jobs.push_back({*request, doneAt.value_or(now), !doneAt});
   }
 }
 
+std::optional<TimePoint> SoakHost::takeSlot(TimePoint now) {
+  if (slotsFreeAt_.empty()) {
+    return now + plan_.work;
+  }
+  while (!waiting_.empty() && waiting_.front() <= now) {
+    waiting_.pop_front();
+  }
+  const auto slot = std::min_element(slotsFreeAt_.begin(), slotsFreeAt_.end());
+  if (*slot > now) {
+    if (waiting_.size() >= plan_.queue) {
+      return std::nullopt;
+    }
+    waiting_.push_back(*slot);
+  }
+  *slot = std::max(*slot, now) + plan_.work;
+  return *slot;
+}
+
 void SoakHost::answerDone(TimePoint now, Flow& flow) {
   while (!flow.jobs.empty() && flow.jobs.front().doneAt <= now) {
-    flow.stream.write(answerText(flow.jobs.front().request, plan_.service));
+    const Job& job = flow.jobs.front();
+    flow.stream.write(job.turnedAway ? refusalText(job.request)
+                                     : answerText(job.request, plan_.service));
     flow.jobs.erase(flow.jobs.begin());
     if (mood_ == HostMood::kDraining && flow.jobs.empty() && !flow.closing) {
       flow.closing = true;
@@ -158,6 +189,13 @@
   return found != flows_.end() && found->second.open;
 }
 
+size_t SoakHost::openFlowCount() const {
+  return static_cast<size_t>(std::count_if(flows_.begin(), flows_.end(), [](const auto& entry) {
+    const Flow& flow = entry.second;
+    return flow.open && !flow.stream.isFinishedByOther();
+  }));
+}
+
 void SoakHost::sendReset(const EchoPacket& packet) {
   const FlowName name = flowOfCaller(packet);
   EchoPacket reset = packetOn(name, kRst);
--- a/test/soak/world/soak_host.h
+++ b/test/soak/world/soak_host.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +45,13 @@
   std::string zone;
   Endpoint address;
   Duration work = std::chrono::milliseconds(10);
+  /** Requests that it works on at once, and that wait beyond these; 0 slots: no limit. */
+  uint32_t slots = 0;
+  uint32_t queue = 0;
+  /** Open flows that it holds at most; at so many it says nothing to openings. 0: no limit. */
+  uint32_t mostFlows = 0;
+  /** When it started, Unix ms; tells lives of one id apart. 0: its entry does not say it. */
+  uint64_t born = 0;
 };
 
 /** What a host tells the world. Each must be set. */
@@ -51,8 +60,12 @@
   std::function<void(const Endpoint& caller, const std::string& packet)> send;
   /** An opening was taken; `node` handed it on. */
   std::function<void(const FlowName& flow, const Endpoint& node)> opening;
-  /** A request begins to run. */
+  /** A request is taken to be run. */
   std::function<void(const FlowName& flow, const Request& request)> run;
+  /** A request was turned away. */
+  std::function<void(const Request& request)> turnedAway;
+  /** An opening found that the host holds as many flows as it can. */
+  std::function<void()> full;
   /** A packet arrived that no caller wrote so. */
   std::function<void(const EchoPacket& packet)> forged;
 };
@@ -74,11 +87,14 @@
   /** @return whether it holds the flow open. */
   bool holds(const FlowName& flow) const;
   size_t flowCount() const { return flows_.size(); }
+  /** @return the open flows that their callers have not closed. */
+  size_t openFlowCount() const;
 
  private:
   struct Job {
     Request request;
     TimePoint doneAt;
+    bool turnedAway = false;
   };
   struct Flow {
     StreamEnd stream;
@@ -93,6 +109,8 @@
   void onOpening(TimePoint now, const EchoPacket& packet, const Endpoint& node);
   void onLater(TimePoint now, const EchoPacket& packet, const FlowName& name, Flow& flow);
   void takeRequests(TimePoint now, const FlowName& name, Flow& flow);
+  /** @return when the request will be done, or nothing where there is no room for it. */
+  std::optional<TimePoint> takeSlot(TimePoint now);
   void answerDone(TimePoint now, Flow& flow);
   void sendReset(const EchoPacket& packet);
   void sendAll(const FlowName& name, const std::vector<std::string>& packets);
@@ -102,6 +120,10 @@
   RandomSource& random_;
   HostMood mood_ = HostMood::kServing;
   std::map<FlowName, Flow> flows_;
+  /** When each slot is free. */
+  std::vector<TimePoint> slotsFreeAt_;
+  /** When the requests that wait begin. */
+  std::deque<TimePoint> waiting_;
 };
 
 }  // namespace umberhold::soak
--- a/test/soak/world/soak_report.cc
+++ b/test/soak/world/soak_report.cc
@@ -44,6 +44,11 @@
   object.set("probes", result.probes);
   object.set("versions", result.versions);
   object.set("served_after_recovery", result.servedAfterRecovery);
+  object.set("turned_away", result.callers.turnedAway);
+  object.set("starved_seconds_most", std::chrono::duration<double>(result.longestStarved).count());
+  object.set("open_flows_most", result.mostOpenFlows);
+  object.set("pause_seconds_most", std::chrono::duration<double>(result.longestPause).count());
+  object.set("returns_judged", result.returnsJudged);
   object.set("memory_mb_most", result.highest.memoryMegabytes);
   object.set("descriptors_most", result.highest.descriptors);
   object.set("log_lines", result.logLines);
@@ -85,7 +90,15 @@
   writeFigure(text, "openings refused", result.callers.openingsRefused);
   writeFigure(text, "openings unanswered", result.callers.openingsUnanswered);
   writeFigure(text, "resets by nodes", result.callers.systemResets);
+  writeFigure(text, "resets that open flows don't take", result.callers.strayResets);
   writeFigure(text, "resets by hosts", result.callers.hostResets);
+  writeFigure(text, "turned away by hosts", result.callers.turnedAway);
+  writeFigure(text, "longest without service, s",
+              std::chrono::duration<double>(result.longestStarved).count());
+  writeFigure(text, "open flows of a host at most", result.mostOpenFlows);
+  writeFigure(text, "longest pause of the soak itself, s",
+              std::chrono::duration<double>(result.longestPause).count());
+  writeFigure(text, "returns of room judged", result.returnsJudged);
   writeFigure(text, "runs at hosts", result.runs);
   writeFigure(text, "probes of the configuration", result.probes);
   writeFigure(text, "versions of the configuration", result.versions);
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -27,7 +27,7 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         plan_(options.block),
-        world_(plan_, store_, options.seed, options.sabotage),
+        world_(plan_, store_, options.seed, options.sabotage, options.load),
         nodes_(plan_, options.program, store_.address(), options.folder),
         faults_(plan_, world_, nodes_, store_) {}
 
@@ -45,6 +45,10 @@
       world_.startTraffic(start);
     }
     planned_ = drawFaults(options_.seed, end - start - calm - kWindDown);
+    if (options_.load == SoakLoad::kHard) {
+      const auto hard = drawHardLoad(options_.seed, end - start - calm - kWindDown);
+      planned_.insert(planned_.end(), hard.begin(), hard.end());
+    }
     faults_.schedule(start, planned_);
     const TimePoint faultsOver = playFaults();
     const TimePoint calmEnd = std::max(end, faultsOver + calm);
@@ -107,6 +111,10 @@
     result.faults = faults_.counts();
     result.planned = planned_;
     result.seconds = world_.seconds();
+    result.longestStarved = world_.load().longestStarved();
+    result.longestPause = world_.longestPause();
+    result.mostOpenFlows = world_.mostOpenFlows();
+    result.returnsJudged = world_.load().returnsJudged();
     judgeRecovery(start, faultsOver, end, result);
     judgeNodes(end - start, result);
     for (uint8_t index = 0; index < static_cast<uint8_t>(Promise::kCount); ++index) {
--- a/test/soak/world/soak_run.h
+++ b/test/soak/world/soak_run.h
@@ -19,6 +19,7 @@
   /** Of the traffic; the last part of it is calm. */
   uint32_t seconds = 60;
   Sabotage sabotage = Sabotage::kNone;
+  SoakLoad load = SoakLoad::kHard;
   /** The node's program. */
   std::string program;
   /** Gets settings and logs. */
@@ -47,6 +48,13 @@
   NodePeak highest;
   /** Served part of the requests that began after the recovery time of the last fault. */
   double servedAfterRecovery = 0;
+  /** The longest time for which a service was not served while another of its pool was. */
+  Duration longestStarved{0};
+  /** Shortages after which the usual share was judged. */
+  uint64_t returnsJudged = 0;
+  size_t mostOpenFlows = 0;
+  /** The longest time for which callers and hosts stood still. */
+  Duration longestPause{0};
   std::map<FaultKind, uint64_t> faults;
   std::vector<Fault> planned;
   std::map<int64_t, SecondCounts> seconds;
--- a/test/soak/world/soak_world.cc
+++ b/test/soak/world/soak_world.cc
@@ -10,7 +10,12 @@
 
 constexpr uint32_t kDispatchHosts = 12;
 constexpr uint32_t kMapHosts = 6;
+/** Under hard load markers lead to hosts of their own, of which there are always enough. */
+constexpr uint32_t kBeaconHosts = 6;
+constexpr const char* kBeaconService = "beacons";
 constexpr uint32_t kCallers = 90;
+/** They come where room is short, beside the others. */
+constexpr uint32_t kCrowd = 2 * kCallers;
 constexpr Duration kProbeInterval = std::chrono::milliseconds(40);
 constexpr uint16_t kFirstProbePort = 10000;
 constexpr uint16_t kProbePorts = 40000;
@@ -23,21 +28,26 @@
 constexpr uint16_t kMapPort = 8444;
 constexpr uint16_t kSplitPort = 8445;
 
-std::vector<CallerRoute> callerRoutes() {
-  return {{"alerts", {kRouteAddress, kAlertPort}, true, {{"dispatch", 1}}},
-          {"confirmations", {kRouteAddress, kConfirmPort}, false, {{"dispatch", 1}}},
-          {"maps", {kRouteAddress, kMapPort}, true, {{"mapstore", 1}}},
-          {"split", {kRouteAddress, kSplitPort}, true, {{"dispatch", 3}, {"mapstore", 1}}}};
+std::vector<CallerRoute> callerRoutes(SoakLoad load) {
+  std::vector<CallerRoute> routes = {
+      {"alerts", {kRouteAddress, kAlertPort}, true, {{"dispatch", 1}}},
+      {"confirmations", {kRouteAddress, kConfirmPort}, false, {{"dispatch", 1}}},
+      {"maps", {kRouteAddress, kMapPort}, true, {{"mapstore", 1}}},
+      {"split", {kRouteAddress, kSplitPort}, true, {{"dispatch", 3}, {"mapstore", 1}}}};
+  if (load == SoakLoad::kHard) {
+    routes[0].priority = 1;
+    routes[1].priority = 0;
+  }
+  return routes;
 }
 
 /** Habits of the users' kinds of requests, in the order of callerRoutes(). */
-CallerHabit habitOf(uint32_t number) {
-  const std::vector<CallerRoute> routes = callerRoutes();
+CallerHabit habitOf(const CallerRoute& known, size_t route, SoakLoad load) {
   CallerHabit habit;
-  const size_t kind = number % 8;
-  const size_t route = kind < 4 ? 0 : kind < 6 ? 1 : kind == 6 ? 2 : 3;
-  habit.service = routes[route].listen;
-  habit.repeatable = routes[route].repeatable;
+  habit.service = known.listen;
+  habit.repeatable = known.repeatable;
+  // Under hard load, callers with a flow for each request compete with those that keep theirs.
+  habit.freshFlows = load == SoakLoad::kHard && (route == 1 || route == 3);
   if (route == 2) {
     habit.freshFlows = true;
     habit.answerBytes = 40000;
@@ -47,6 +57,12 @@
   return habit;
 }
 
+/** @return which of callerRoutes() a caller uses. */
+size_t routeOfCaller(uint32_t number) {
+  const size_t kind = number % 8;
+  return kind < 4 ? 0 : kind < 6 ? 1 : kind == 6 ? 2 : 3;
+}
+
 uint64_t flowHash(const EchoPacket& packet) {
   return mixHash((uint64_t{packet.source} << 16U) | packet.sourcePort,
                  (uint64_t{packet.target} << 16U) | packet.targetPort);
@@ -55,19 +71,25 @@
 }  // namespace
 
 SoakWorld::SoakWorld(const DeploymentPlan& plan, test::StandinStore& store, uint64_t seed,
-                     Sabotage sabotage)
+                     Sabotage sabotage, SoakLoad load)
     : plan_(plan),
       store_(store),
       random_(seed),
       sabotage_(sabotage),
+      load_(load),
       promises_(steadyNow()),
       runs_(promises_),
+      loadWatch_({}, promises_),
       anyTrouble_(plan.bounds().contact),
       unplannedTrouble_(plan.bounds().contact),
       delays_(loop_) {
-  routes_ = std::make_unique<RouteBook>(plan_, callerRoutes(), promises_, anyTrouble_);
+  const RouteBookOptions options = load_ == SoakLoad::kHard
+                                       ? RouteBookOptions{HostFleet::kMostFlows, kBeaconService}
+                                       : RouteBookOptions{};
+  routes_ =
+      std::make_unique<RouteBook>(plan_, callerRoutes(load_), promises_, anyTrouble_, options);
   fleet_ = std::make_unique<HostFleet>(
-      plan_, store_.objects(), [this](size_t slot) { return hooksOf(slot); }, random_);
+      plan_, store_.objects(), [this](size_t slot) { return hooksOf(slot); }, random_, load_);
   openHostSockets();
   makeCallers();
   probeSocket_ =
@@ -93,11 +115,26 @@
 
 void SoakWorld::makeCallers() {
   for (uint32_t number = 0; number < kCallers; ++number) {
-    addCaller(number, habitOf(number));
+    addCaller(number);
+  }
+  if (load_ == SoakLoad::kHard) {
+    for (uint32_t number = kCallers; number < kCallers + kCrowd; ++number) {
+      addCaller(number);
+    }
+    setCrowd(false);
+  }
+}
+
+void SoakWorld::setCrowd(bool comes) {
+  for (size_t number = kCallers; number < callers_.size(); ++number) {
+    SoakCaller& caller = *callers_[number].caller;
+    comes ? caller.start() : caller.stop();
   }
 }
 
-void SoakWorld::addCaller(uint32_t number, const CallerHabit& habit) {
+void SoakWorld::addCaller(uint32_t number) {
+  const size_t route = routeOfCaller(number);
+  const CallerHabit habit = habitOf(routes_->routes()[route], route, load_);
   const size_t index = callers_.size();
   CallerHooks hooks;
   hooks.send = [this, index](const std::string& packet) {
@@ -110,7 +147,10 @@
   hooks.wrongAnswer = [this](const std::string& detail) {
     promises_.broken(steadyNow(), Promise::kWholeAnswers, detail);
   };
-  hooks.ended = [this](TimePoint at, bool served) { onEnded(at, served); };
+  hooks.notRun = [this](uint64_t request) { runs_.onNotRun(steadyNow(), request); };
+  hooks.ended = [this, route](TimePoint at, bool served) {
+    onEnded(routes_->routes()[route], at, served);
+  };
   CallerEntry entry;
   const uint32_t address = plan_.callerAddress(number);
   entry.zone = plan_.zones()[number % plan_.zones().size()];
@@ -133,6 +173,10 @@
   hooks.run = [this, slot](const FlowName& flow, const Request& request) {
     onHostRun(slot, flow, request);
   };
+  hooks.turnedAway = [this, slot](const Request& request) { onTurnedAway(slot, request); };
+  hooks.full = [this, slot] {
+    loadWatch_.onFull(steadyNow(), fleet_->slots()[slot].host->plan().id);
+  };
   hooks.forged = [this](const EchoPacket& packet) {
     promises_.broken(steadyNow(), Promise::kPacketsUnchanged,
                      "from " + toString(Endpoint{packet.source, packet.sourcePort}));
@@ -148,6 +192,9 @@
       fleet_->start(now, number < kDispatchHosts ? "dispatch" : "mapstore",
                     plan_.zones()[number % plan_.zones().size()]);
     }
+    for (uint32_t number = 0; load_ == SoakLoad::kHard && number < kBeaconHosts; ++number) {
+      fleet_->start(now, kBeaconService, plan_.zones()[number % plan_.zones().size()]);
+    }
     storeConfiguration(0);
   }
   readiness_ = std::make_unique<ReadinessWatch>(plan_.nodes());
@@ -174,6 +221,10 @@
 
 void SoakWorld::tick() {
   const TimePoint now = steadyNow();
+  if (traffic_ && lastTick_) {
+    longestPause_ = std::max(longestPause_, now - *lastTick_);
+  }
+  lastTick_ = now;
   delays_.deliverDue();
   fleet_->tick(now);
   if (!traffic_) {
@@ -182,6 +233,7 @@
   for (CallerEntry& entry : callers_) {
     entry.caller->tick(now);
   }
+  loadWatch_.tick(now, isAllInTouch(now));
   probe(now);
 }
 
@@ -265,6 +317,7 @@
     routes_->onAccepted(now, flow.caller.port);
   }
   const HostSlot& taken = fleet_->slots()[slot];
+  mostOpenFlows_ = std::max(mostOpenFlows_, taken.host->openFlowCount());
   const bool late = taken.leavesSince && now > *taken.leavesSince + plan_.bounds().drain + kSlack;
   if (late && anyTrouble_.isInTouch(name, now) && anyTrouble_.isInTouch("store", now)) {
     promises_.broken(now, Promise::kNoFlowsOnLeavingHosts, name + " to " + taken.host->plan().id);
@@ -280,6 +333,20 @@
   }
 }
 
+void SoakWorld::onTurnedAway(size_t slot, const Request& request) {
+  if (sabotage_ == Sabotage::kIgnoresRoom) {
+    runs_.onRun(steadyNow(), request.id, request.repeatable, true,
+                fleet_->slots()[slot].host->plan().id);
+  }
+}
+
+bool SoakWorld::isAllInTouch(TimePoint now) const {
+  return anyTrouble_.isInTouch("store", now) &&
+         std::all_of(plan_.nodes().begin(), plan_.nodes().end(), [this, now](const auto& node) {
+           return anyTrouble_.isInTouch(node.name, now);
+         });
+}
+
 void SoakWorld::onOpenFlowReset(const FlowName& flow) {
   const TimePoint now = steadyNow();
   const auto holder = fleet_->holderOf(flow);
@@ -293,7 +360,8 @@
   }
 }
 
-void SoakWorld::onEnded(TimePoint begunAt, bool served) {
+void SoakWorld::onEnded(const CallerRoute& route, TimePoint begunAt, bool served) {
+  loadWatch_.onEnded(steadyNow(), route.parts.front().first, route.name, begunAt, served);
   const auto second = std::chrono::duration_cast<std::chrono::seconds>(begunAt - trafficSince_);
   SecondCounts& counts = seconds_[second.count()];
   ++counts.asked;
@@ -311,7 +379,9 @@
     total.openingsRefused += counts.openingsRefused;
     total.openingsUnanswered += counts.openingsUnanswered;
     total.systemResets += counts.systemResets;
+    total.strayResets += counts.strayResets;
     total.hostResets += counts.hostResets;
+    total.turnedAway += counts.turnedAway;
   }
   return total;
 }
--- a/test/soak/world/soak_world.h
+++ b/test/soak/world/soak_world.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,6 +20,7 @@
 #include "test/platform/store/standin_store.h"
 #include "test/soak/world/contact_record.h"
 #include "test/soak/world/host_fleet.h"
+#include "test/soak/world/load_watch.h"
 #include "test/soak/world/promises.h"
 #include "test/soak/world/readiness_watch.h"
 #include "test/soak/world/route_book.h"
@@ -40,8 +42,8 @@
 class SoakWorld {
  public:
   /** @param plan, store borrowed. */
-  SoakWorld(const DeploymentPlan& plan, test::StandinStore& store, uint64_t seed,
-            Sabotage sabotage);
+  SoakWorld(const DeploymentPlan& plan, test::StandinStore& store, uint64_t seed, Sabotage sabotage,
+            SoakLoad load);
   ~SoakWorld();
   SoakWorld(const SoakWorld&) = delete;
   SoakWorld& operator=(const SoakWorld&) = delete;
@@ -57,6 +59,9 @@
   PromiseBook& promises() { return promises_; }
   /** Every trouble, and those that no plan brought. */
   ContactRecord& anyTrouble() { return anyTrouble_; }
+  LoadWatch& load() { return loadWatch_; }
+  /** Several times the usual callers come, or go. */
+  void setCrowd(bool comes);
   ContactRecord& unplannedTrouble() { return unplannedTrouble_; }
   standins::FaultRules& fabric() { return fabric_; }
   const ReadinessWatch& readiness() const { return *readiness_; }
@@ -66,6 +71,11 @@
   void afterLastFault() { faultsOver_ = true; }
 
   CallerCounts totals() const;
+  /** @return the most open flows that a host had. */
+  size_t mostOpenFlows() const { return mostOpenFlows_; }
+  /** @return the longest time for which callers and hosts stood still, all at once: the machine was
+   * too busy for the soak. */
+  Duration longestPause() const { return longestPause_; }
   uint64_t runs() const { return runs_.runs(); }
   /** By seconds since startTraffic(). */
   const std::map<int64_t, SecondCounts>& seconds() const { return seconds_; }
@@ -79,7 +89,7 @@
 
   void openHostSockets();
   void makeCallers();
-  void addCaller(uint32_t number, const CallerHabit& habit);
+  void addCaller(uint32_t number);
   HostHooks hooksOf(size_t slot);
   void onHostDatagram(size_t slot, const Endpoint& from, std::string_view bytes);
   void onCallerDatagram(size_t caller, const Endpoint& from, std::string_view bytes);
@@ -87,7 +97,9 @@
   void onHostOpening(size_t slot, const FlowName& flow, const Endpoint& node);
   void onHostRun(size_t slot, const FlowName& flow, const Request& request);
   void onOpenFlowReset(const FlowName& flow);
-  void onEnded(TimePoint begunAt, bool served);
+  void onTurnedAway(size_t slot, const Request& request);
+  void onEnded(const CallerRoute& route, TimePoint begunAt, bool served);
+  bool isAllInTouch(TimePoint now) const;
   void toNode(size_t node, standins::SocketIndex socket, const std::string& zone,
               std::string_view packet);
   void toCaller(size_t slot, const Endpoint& caller, const std::string& packet);
@@ -109,8 +121,10 @@
   test::StandinStore& store_;
   RandomSource random_;
   const Sabotage sabotage_;
+  const SoakLoad load_;
   PromiseBook promises_;
   RunBook runs_;
+  LoadWatch loadWatch_;
   ContactRecord anyTrouble_;
   ContactRecord unplannedTrouble_;
   standins::DatagramLoop loop_;
@@ -128,6 +142,9 @@
   Endpoint sender_;
   bool traffic_ = false;
   bool faultsOver_ = false;
+  size_t mostOpenFlows_ = 0;
+  std::optional<TimePoint> lastTick_;
+  Duration longestPause_{0};
   TimePoint trafficSince_{};
   std::map<int64_t, SecondCounts> seconds_;
   /** Flows that sabotage leads elsewhere. */
--- a/test/soak/world/soak_world_sabotage.cc
+++ b/test/soak/world/soak_world_sabotage.cc
@@ -28,6 +28,10 @@
     return false;
   }
   const bool marker = RouteBook::isMarker({packet->target, packet->targetPort});
+  if (sabotage_ == Sabotage::kIgnoresRoom &&
+      flowOfCaller(*packet).service == routes_->routes().back().listen) {
+    return true;
+  }
   if (sabotage_ == Sabotage::kOldConfiguration && marker && strikes(kOften)) {
     sendSystemReset(*packet);
     return true;
--- a/test/soak/world/stream_end.h
+++ b/test/soak/world/stream_end.h
@@ -44,6 +44,8 @@
   bool isDrained() const { return parts_.empty(); }
   /** @return how often the part that waits longest was sent. */
   uint32_t tries() const { return parts_.empty() ? 0 : parts_.front().tries; }
+  /** @return what this end acknowledges. */
+  uint32_t acknowledged() const { return expected_; }
   void setEcho(uint32_t echo) { echo_ = echo; }
   const StreamAddresses& addresses() const { return addresses_; }
 
