--- a/source/common/config/service.h
+++ b/source/common/config/service.h
@@ -52,8 +52,8 @@
   /** Requests that it works on at once; 0: not known. */
   uint32_t slots = 0;
   /**
-   * When this life of the host began, Unix milliseconds by the host's own clock; 0: not told. A host
-   * that starts again under its name and incarnation has a greater one (token/host_life.h).
+   * When this life of the host began, Unix milliseconds by the host's own clock; 0: not told. A
+   * host that starts again under its name and incarnation has a greater one (token/host_life.h).
    */
   uint64_t bornMilliseconds = 0;
 
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -380,7 +380,8 @@
   for (const SilentHost& silent : silentHosts) {
     const TokenHost* host = hosts_.find(silent.token);
     const TimePoint since = now - std::chrono::milliseconds(silent.silentMilliseconds);
-    if (host != nullptr && host->livedAt(since) && host->silence.answeredAt().value_or(TimePoint{}) < since) {
+    if (host != nullptr && host->livedAt(since) &&
+        host->silence.answeredAt().value_or(TimePoint{}) < since) {
       dead.insert(silent.token);
     }
   }
