--- a/source/common/admission/admission.cc
+++ b/source/common/admission/admission.cc
@@ -37,8 +37,7 @@
     return OpeningTurn::kPlace;  // Nothing is known, or there is nothing to wait for.
   }
   const uint32_t limit = queue_.limitOf(known.slots, known.sendingNodes);
-  const OpeningTurn turn =
-      queue_.turnOf(now, pool, limit, flow, claimOf(now, pool, needs, known));
+  const OpeningTurn turn = queue_.turnOf(now, pool, limit, flow, claimOf(now, pool, needs, known));
   return turn == OpeningTurn::kWait ? hold(now, pool, needs, flow, bytes)
                                     : noted(turn, pool, needs);
 }
--- a/source/common/admission/admission.h
+++ b/source/common/admission/admission.h
@@ -79,8 +79,7 @@
    * is kept.
    */
   OpeningTurn turnOf(TimePoint now, const std::string& pool, const OpeningNeeds& needs,
-                     FlowHash flow, std::string_view bytes,
-                     const std::function<PoolSize()>& size);
+                     FlowHash flow, std::string_view bytes, const std::function<PoolSize()>& size);
   void onPlaced(TimePoint now, const std::string& pool, FlowHash flow, uint32_t priority) {
     queue_.onPlaced(now, pool, flow, priority);
   }
--- a/source/common/admission/pool_use.cc
+++ b/source/common/admission/pool_use.cc
@@ -6,8 +6,8 @@
 namespace {
 
 /** Part of the requests under way that more urgent services have, from which on others yield. A
- * service with hardly any requests needs no room: with one of a hundredth of the requests, the usual
- * ones got a single place in each node while hosts had idle slots. */
+ * service with hardly any requests needs no room: with one of a hundredth of the requests, the
+ * usual ones got a single place in each node while hosts had idle slots. */
 constexpr double kNeedsRoom = 0.05;
 
 }  // namespace
--- a/source/common/admission/room_limits.cc
+++ b/source/common/admission/room_limits.cc
@@ -9,8 +9,8 @@
 /** On the way between callers, nodes and hosts, and in the node's own queue of packets. */
 constexpr Duration kOnTheWay = std::chrono::milliseconds(20);
 /** A caller whose opening is refused after its wait still has as much time for another one. Without
- * it, what waits is served late: bench/load_model, urgent kind x 3, 0.135 of the urgent requests late
- * and 0.754 in aim against 0.030 and 0.835. */
+ * it, what waits is served late: bench/load_model, urgent kind x 3, 0.135 of the urgent requests
+ * late and 0.754 in aim against 0.030 and 0.835. */
 constexpr int kTriesInTime = 2;
 /** More would be no limit. */
 constexpr double kMostOpenings = 1e6;
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -58,8 +58,9 @@
 }
 
 TokenOptions optionsOf(const TokenNodeSettings& settings) {
-  return {settings.zone, std::chrono::seconds(settings.flowLifeSeconds), settings.placement,
-          settings.coldHosts, settings.openings, settings.room};
+  return {settings.zone,      std::chrono::seconds(settings.flowLifeSeconds),
+          settings.placement, settings.coldHosts,
+          settings.openings,  settings.room};
 }
 
 }  // namespace
--- a/test/common/admission/admission_property.cc
+++ b/test/common/admission/admission_property.cc
@@ -67,10 +67,14 @@
   static OpeningNeeds needsOf(uint32_t priority) {
     return {"service", priority, seconds(3), kTarget};
   }
-  static uint32_t priorityOf(FlowHash flow) { return static_cast<uint32_t>(flow.value % kServices); }
+  static uint32_t priorityOf(FlowHash flow) {
+    return static_cast<uint32_t>(flow.value % kServices);
+  }
   OpeningTurn turnOf(FlowHash flow) {
     return admission_.turnOf(now_, kPool, needsOf(priorityOf(flow)), flow,
-                             std::to_string(flow.value), [this] { return PoolSize{slots_, 1}; });
+                             std::to_string(flow.value), [this] {
+                               return PoolSize{slots_, 1};
+                             });
   }
   void open(FlowHash flow) {
     const OpeningTurn turn = turnOf(flow);
@@ -114,8 +118,8 @@
       // A service that has something waiting has something under way: it is never starved.
       const uint32_t priority = waited.priority;
       RC_ASSERT(std::any_of(placed_.begin(), placed_.end(), [priority](const auto& entry) {
-                  return priorityOf(entry.first) == priority;
-                }));
+        return priorityOf(entry.first) == priority;
+      }));
     }
   }
 
@@ -149,8 +153,9 @@
   const OpeningNeeds needs{"service", 1, seconds(3), kTarget};
   for (uint64_t flow = 1; flow <= 100000; ++flow) {
     now += std::chrono::microseconds(10);
-    if (admission.turnOf(now, kPool, needs, FlowHash{flow}, "opening",
-                         [] { return PoolSize{2.0, 1}; }) == OpeningTurn::kPlace) {
+    if (admission.turnOf(now, kPool, needs, FlowHash{flow}, "opening", [] {
+          return PoolSize{2.0, 1};
+        }) == OpeningTurn::kPlace) {
       admission.onPlaced(now, kPool, FlowHash{flow}, 1);
     }
     const auto figures = admission.figures(now);
--- a/test/common/admission/admission_test.cc
+++ b/test/common/admission/admission_test.cc
@@ -42,8 +42,7 @@
     return placed;
   }
   void end(uint32_t priority, Duration took, bool opened = false) {
-    admission.onEnded(now, kPool, needsOf(priority),
-                      {priority, took, milliseconds(20), opened});
+    admission.onEnded(now, kPool, needsOf(priority), {priority, took, milliseconds(20), opened});
   }
   /** Open flows of the usual service keep the hosts busy; the urgent one has a few requests. */
   void load(int usualPerSecond, Duration took) {
