--- a/test/common/admission/admission_property.cc
+++ b/test/common/admission/admission_property.cc
@@ -67,7 +67,9 @@
   static OpeningNeeds needsOf(uint32_t priority) {
     return {"service", priority, seconds(3), kTarget};
   }
-  static uint32_t priorityOf(FlowHash flow) { return static_cast<uint32_t>(flow.value % kServices); }
+  static uint32_t priorityOf(FlowHash flow) {
+    return static_cast<uint32_t>(flow.value % kServices);
+  }
   OpeningTurn turnOf(FlowHash flow) {
     const OpeningNeeds needs = needsOf(priorityOf(flow));
     const OpeningTurn turn =
@@ -118,8 +120,8 @@
       // A service that has something waiting has something under way: it is never starved.
       const uint32_t priority = waited.priority;
       RC_ASSERT(std::any_of(placed_.begin(), placed_.end(), [priority](const auto& entry) {
-                  return priorityOf(entry.first) == priority;
-                }));
+        return priorityOf(entry.first) == priority;
+      }));
     }
   }
 
