--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -60,7 +60,7 @@
   CHECK_TRUE(isOk(settings));
   const TokenNodeSettings& read = valueOf(settings);
   CHECK_FALSE(read.sharesObservations);
-  CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0, 0.5}));
+  CHECK_TRUE(read.placement == (PlacementOptions{false, 1.5, 1000.0, 0.5, false}));
   CHECK_TRUE(read.openings == (OpeningLimits{2.5, 0.25}));
   STRCMP_EQUAL("front-bole-1", read.node.c_str());
   STRCMP_EQUAL("addis", read.region.c_str());
