Tell the lives of a host apart by its birth, and pass over entries of other writers alone

Cause: a host may start again under its id. Both lives have one flow token, so the second one inherited the first one's estimate, silence, dead mark and cold time, and callers that rested on a flow of the first learned of its end only by losing their next request. One malformed element made a whole list or watch answer unreadable; an unknown state counted as ready; an entry of a service that nobody configures could end a living host by claiming its endpoint.

Ruled out: sequence as a sign of a new life (a watch does not show it, a late write looks alike); a reset of every flow of the token (some may be the new life's); a token for each life (the wire names the id only).

Change: HostSpec::bornMilliseconds from `born`; a node of an earlier release leaves it out of its answers to peers, which are read all the same. An older life changes nothing.

--- a/source/common/config/service.h
+++ b/source/common/config/service.h
@@ -51,13 +51,21 @@
   uint32_t coldMilliseconds = 0;
   /** Requests that it works on at once; 0: not known. */
   uint32_t slots = 0;
+  /**
+   * When this life of the host began, Unix milliseconds by the host's own clock; 0: not told. A
+   * host that starts again under its name and incarnation has a greater one (token/host_life.h).
+   */
+  uint64_t bornMilliseconds = 0;
 
   bool operator==(const HostSpec&) const = default;
 
+  /** Fields at the end that nodes of an earlier release leave out. */
+  static constexpr uint32_t kOptionalFields = 1;
+
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(name, endpoint, probe, zone, state, drainDeadline, connectionLimit, weight, incarnation,
-            coldMilliseconds, slots);
+            coldMilliseconds, slots, bornMilliseconds);
   }
 };
 
--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -10,6 +10,22 @@
 constexpr uint32_t kPercent = 100;
 constexpr uint32_t kFewestAtOnce = 2;
 
+/** @return whether both tell when their lives began, and the first is the older one. */
+bool isOlderLife(const HostSpec& host, const HostSpec& other) {
+  return host.bornMilliseconds != 0 && host.bornMilliseconds < other.bornMilliseconds;
+}
+
+/** @return whether the first of two hosts with one endpoint got it later. A host that starts again
+ * keeps its entry, so where both tell it their births count and not when the entries were made. */
+bool isLater(const HostRegistration& registration, const HostRegistration& other) {
+  const uint64_t born = registration.host.bornMilliseconds;
+  const uint64_t otherBorn = other.host.bornMilliseconds;
+  if (born != 0 && otherBorn != 0 && born != otherBorn) {
+    return born > otherBorn;
+  }
+  return registration.madeAt > other.madeAt;
+}
+
 /** How many hosts of a pool are there, and how many vanished just now. */
 struct PoolCount {
   uint32_t present = 0;
@@ -26,6 +42,14 @@
   if (!isNew && registration.version <= entry.registration.version) {
     return false;
   }
+  if (isOlderLife(registration.host, entry.registration.host)) {
+    // A write of the earlier life that the store did late: the host has started again since.
+    entry.registration.version = registration.version;
+    return false;
+  }
+  if (registration.host.bornMilliseconds == 0) {
+    registration.host.bornMilliseconds = entry.registration.host.bornMilliseconds;
+  }
   entry.registration = std::move(registration);
   entry.removedAt.reset();
   entry.afterOutage = false;
@@ -163,14 +187,17 @@
 }
 
 void HostPresence::forgetSuperseded() {
-  std::unordered_map<Endpoint, uint64_t> latest;
+  std::unordered_map<Endpoint, const HostRegistration*> latest;
   for (const auto& [name, entry] : entries_) {
-    uint64_t& madeAt = latest[entry.registration.host.endpoint];
-    madeAt = std::max(madeAt, entry.registration.madeAt);
+    if (mayClaim(entry.registration)) {
+      const HostRegistration*& known = latest[entry.registration.host.endpoint];
+      known = known == nullptr || isLater(entry.registration, *known) ? &entry.registration : known;
+    }
   }
   std::erase_if(entries_, [&latest](const auto& named) {
     const HostRegistration& registration = named.second.registration;
-    return registration.madeAt < latest[registration.host.endpoint];
+    const auto claim = latest.find(registration.host.endpoint);
+    return claim != latest.end() && isLater(*claim->second, registration);
   });
 }
 
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/base/time.h"
@@ -65,6 +66,9 @@
    * @param version of the store when the list began: registrations that are newer may lack in it.
    */
   void onListed(TimePoint now, uint64_t version, const std::set<std::string>& hosts);
+  /** Only hosts of these pools end others by having their endpoint; until it is called, all do.
+   * Anybody may register an address under the name of a pool that is not configured. */
+  void setNamedPools(std::set<std::string> pools) { namedPools_ = std::move(pools); }
   /** The store can't be read. */
   void onOutage();
   /** The store can be read again. */
@@ -94,6 +98,9 @@
     bool withMany = false;
   };
 
+  bool mayClaim(const HostRegistration& registration) const {
+    return !namedPools_ || namedPools_->contains(registration.pool);
+  }
   bool isAftermath(TimePoint now) const;
   bool takesNewFlows(const Entry& entry, TimePoint now) const;
   /** @return until when a host whose registration ended stays active. */
@@ -111,6 +118,7 @@
   std::map<std::string, Entry> entries_;
   /** Pools as settle() last gave them. */
   std::map<std::string, HostPool> pools_;
+  std::optional<std::set<std::string>> namedPools_;
   bool outage_ = false;
   std::optional<TimePoint> recoveredAt_;
   TimePoint settledAt_;
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -52,6 +52,12 @@
 /** Content type of Prometheus' text format. */
 constexpr const char* kMetricsType = "text/plain; version=0.0.4";
 
+uint64_t unixMilliseconds() {
+  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   std::chrono::system_clock::now().time_since_epoch())
+                                   .count());
+}
+
 uint64_t randomSeed() {
   std::random_device device;
   return (uint64_t{device()} << 32U) | device();
@@ -180,6 +186,7 @@
     if (hooks.storeStatus) {
       director.setZoneNodes(hooks.storeStatus().zoneNodes);
     }
+    director.setWallClock({now, unixMilliseconds()});
     for (const CatalogChange& change : news.changes) {
       std::visit([&](const auto& object) { apply(now, news.version, object); }, change);
     }
--- a/source/common/token/dead_host_flows.cc
+++ b/source/common/token/dead_host_flows.cc
@@ -1,5 +1,7 @@
 #include "common/token/dead_host_flows.h"
 
+#include "common/token/host_life.h"
+
 namespace umberhold {
 
 void DeadHostFlows::onEnded(TimePoint now, const std::set<uint32_t>& tokens) {
@@ -11,6 +13,12 @@
       RefusalReason::kHostEnded);
 }
 
+void DeadHostFlows::onReborn(TimePoint now, uint32_t token, TimePoint born) {
+  add(recent_.take(now - flowLife_, born - kClockError,
+                   [&](const RecentFlow& flow) { return flow.token == token; }),
+      RefusalReason::kHostEnded);
+}
+
 void DeadHostFlows::onSilent(TimePoint now, const std::set<uint32_t>& tokens,
                              const std::function<bool(ServiceId)>& isRepeatable) {
   if (tokens.empty()) {
--- a/source/common/token/dead_host_flows.h
+++ b/source/common/token/dead_host_flows.h
@@ -29,6 +29,12 @@
   void note(TimePoint now, const FlowPacket& packet) { recent_.note(now, packet); }
   /** Hosts have definitely ended. @param tokens theirs. All their flows are reset. */
   void onEnded(TimePoint now, const std::set<uint32_t>& tokens);
+  /**
+   * A host started again under its token. Its flows that rested since before its birth are reset;
+   * those seen later went to the new life, which itself answers what it does not hold with a reset.
+   * @param born when its new life began, by this node's clock.
+   */
+  void onReborn(TimePoint now, uint32_t token, TimePoint born);
   /**
    * Hosts are silent to several flows. Flows at rest are reset, and those with a request under way
    * that may run twice; a request that may not is left to its host, which may yet answer it.
--- a/source/common/token/opening_watch.cc
+++ b/source/common/token/opening_watch.cc
@@ -35,6 +35,14 @@
   return true;
 }
 
+void OpeningWatch::forgetHost(uint32_t token) {
+  for (Entry& entry : entries_) {
+    if (entry.token == token) {
+      entry = {};
+    }
+  }
+}
+
 std::vector<uint32_t> OpeningWatch::onCaughtUp(TimePoint now) {
   std::vector<uint32_t> unanswered;
   while (!due_.empty() && now - due_.front().at >= kFollowPatience) {
--- a/source/common/token/opening_watch.h
+++ b/source/common/token/opening_watch.h
@@ -37,6 +37,8 @@
   EarlierOpening earlierOf(TimePoint now, FlowHash flow) const;
   /** A later packet of a flow. @return whether it is the first one after the opening. */
   bool onFollowed(FlowHash flow, uint32_t token);
+  /** The host has started again: what it left unanswered before says nothing of it. */
+  void forgetHost(uint32_t token);
   /** Every packet that had arrived was handled. @return tokens of hosts at which an opening was
    * placed that its caller did not continue; each opening once. */
   std::vector<uint32_t> onCaughtUp(TimePoint now);
--- a/source/common/token/recent_flows.h
+++ b/source/common/token/recent_flows.h
@@ -46,10 +46,15 @@
    * forgotten. */
   template <class Predicate>
   std::vector<RecentFlow> take(TimePoint oldest, const Predicate& isWanted) {
+    return take(oldest, TimePoint::max(), isWanted);
+  }
+  /** The same, of the flows that were last seen before `end`. */
+  template <class Predicate>
+  std::vector<RecentFlow> take(TimePoint oldest, TimePoint end, const Predicate& isWanted) {
     std::vector<RecentFlow> taken;
     for (auto entry = entries_.begin(); entry != entries_.end();) {
       const auto next = std::next(entry);
-      if (entry->at >= oldest && isWanted(entry->flow)) {
+      if (entry->at >= oldest && entry->at < end && isWanted(entry->flow)) {
         taken.push_back(entry->flow);
         forget(entry);
       }
--- a/source/common/token/request_timer.cc
+++ b/source/common/token/request_timer.cc
@@ -66,6 +66,14 @@
   return isMeasured ? std::optional(now - entry.beganAt) : std::nullopt;
 }
 
+void RequestTimer::forgetHost(uint32_t token) {
+  for (Entry& entry : entries_) {
+    if (entry.token == token) {
+      entry.underWay = false;
+    }
+  }
+}
+
 std::vector<OverdueRequest> RequestTimer::onCaughtUp(TimePoint now) {
   ++caughtUp_;
   std::vector<OverdueRequest> overdue;
--- a/source/common/token/request_timer.h
+++ b/source/common/token/request_timer.h
@@ -48,6 +48,8 @@
    */
   std::optional<Duration> note(TimePoint now, const FlowPacket& packet,
                                std::optional<Duration> patience);
+  /** The host has started again: its requests under way are lost, and their times tell nothing. */
+  void forgetHost(uint32_t token);
   /** Every packet that had arrived was handled. @return requests that became overdue; each once. */
   std::vector<OverdueRequest> onCaughtUp(TimePoint now);
 
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -73,6 +73,8 @@
       ended.insert(flowTokenOf(change.host.incarnation));
     } else if (change.kind == HostChangeKind::kAdded) {
       added.insert(flowTokenOf(change.host.incarnation));
+    } else if (change.kind == HostChangeKind::kReborn) {
+      noteReborn(now, flowTokenOf(change.host.incarnation), change.bornAt);
     }
   }
   deadHostFlows_.onEnded(now, ended);
@@ -81,6 +83,18 @@
   }
 }
 
+void TokenDirector::noteReborn(TimePoint now, uint32_t token, std::optional<TimePoint> bornAt) {
+  openings_.forgetHost(token);
+  timer_.forgetHost(token);
+  if (bornAt) {
+    deadHostFlows_.onReborn(now, token, *bornAt);
+  }
+  if (TokenHost* host = hosts_.find(token)) {
+    // Others learn that what was said of its silence is over.
+    noteSign(*host);
+  }
+}
+
 void TokenDirector::setEvacuatedZones(TimePoint now, EvacuatedZones zones) {
   hosts_.forEachPool([&](const TokenPool& pool) {
     for (TokenHost* host : pool.hosts) {
@@ -312,9 +326,10 @@
 
 void TokenDirector::learn(TimePoint now, const std::vector<HostStanding>& standings) {
   for (const HostStanding& standing : standings) {
-    if (TokenHost* host = hosts_.find(standing.token)) {
-      host->estimate.onShared(now - std::chrono::milliseconds(standing.ageMilliseconds),
-                              standing.percentOfUsual / kPercent);
+    TokenHost* host = hosts_.find(standing.token);
+    const TimePoint at = now - std::chrono::milliseconds(standing.ageMilliseconds);
+    if (host != nullptr && host->livedAt(at)) {
+      host->estimate.onShared(at, standing.percentOfUsual / kPercent);
     }
   }
 }
@@ -365,7 +380,8 @@
   for (const SilentHost& silent : silentHosts) {
     const TokenHost* host = hosts_.find(silent.token);
     const TimePoint since = now - std::chrono::milliseconds(silent.silentMilliseconds);
-    if (host != nullptr && host->silence.answeredAt().value_or(TimePoint{}) < since) {
+    if (host != nullptr && host->livedAt(since) &&
+        host->silence.answeredAt().value_or(TimePoint{}) < since) {
       dead.insert(silent.token);
     }
   }
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -71,6 +71,8 @@
    */
   std::vector<HostChange> setPool(TimePoint now, const HostPool& pool, uint64_t version = 0);
   std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version = 0);
+  /** The time by both clocks; before pools that are set, for the births that their hosts state. */
+  void setWallClock(const WallClock& clock) { hosts_.setWallClock(clock); }
   /** Hosts of these zones get no new flow; their open ones go on. Those of a zone that is taken
    * back count as cold: they may say so only later. */
   void setEvacuatedZones(TimePoint now, EvacuatedZones zones);
@@ -135,6 +137,8 @@
   /** Flows of hosts that a change showed to have ended are to be reset, and packets that waited for
    * hosts that it brought may go on. */
   void noteChanges(TimePoint now, const std::vector<HostChange>& changes);
+  /** The host started again under its token. @param bornAt by this node's clock, where known. */
+  void noteReborn(TimePoint now, uint32_t token, std::optional<TimePoint> bornAt);
   /** @param remaining how much longer the host is cold. @return whether it was not cold before. */
   bool beginCold(TimePoint now, const TokenPool& pool, TokenHost& host, Duration remaining);
   FlowDecision open(TimePoint now, const FlowPacket& packet, std::string_view bytes);
--- a/source/common/token/token_hosts.cc
+++ b/source/common/token/token_hosts.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
 
 #include "common/base/hash.h"
 
@@ -26,6 +27,8 @@
       return "cold";
     case HostChangeKind::kEnded:
       return "ended";
+    case HostChangeKind::kReborn:
+      return "reborn";
   }
   return "unknown";
 }
@@ -71,25 +74,58 @@
   if (!added && host.spec.incarnation != spec.incarnation) {
     return;  // Two incarnations with one token can't be distinguished: the first one keeps it.
   }
+  const HostLife life = added ? HostLife::kSame : lifeOf(host.spec, spec);
+  if (life == HostLife::kOlder) {
+    return;  // A list that is older than what is known.
+  }
+  if (life == HostLife::kNewer) {
+    beginLife(now, host, spec);
+    changes.push_back({HostChangeKind::kReborn, pool, spec, birthOf(spec, clock_)});
+  }
   const bool drains = spec.state == HostState::kDraining;
   if (added || !host.listed) {
     changes.push_back({HostChangeKind::kAdded, pool, spec});
   } else if (drains != (host.spec.state == HostState::kDraining)) {
     changes.push_back({drains ? HostChangeKind::kDraining : HostChangeKind::kActive, pool, spec});
   }
-  const uint32_t coldBefore = added ? 0 : host.spec.coldMilliseconds;
+  const bool isNewLife = added || life == HostLife::kNewer;
+  const uint32_t coldBefore = isNewLife ? 0 : host.spec.coldMilliseconds;
   host.hasColdNews = spec.coldMilliseconds != 0 && spec.coldMilliseconds != coldBefore;
   host.token = token;
+  const uint64_t bornBefore = host.spec.bornMilliseconds;
   host.spec = spec;
+  if (spec.bornMilliseconds == 0) {
+    host.spec.bornMilliseconds = bornBefore;
+  }
   host.id = hostIdOf(serviceIdOf(pool), spec.name);
   host.pool = pool;
   host.listed = true;
   host.leftAt = now;
   if (added) {
+    host.livesSince = birthOf(spec, clock_);
+  }
+  if (isNewLife) {
     host.firstSeen = now;
   }
 }
 
+void TokenHosts::beginLife(TimePoint now, TokenHost& host, const HostSpec& spec) const {
+  const TimePoint since = std::min(now, birthOf(spec, clock_).value_or(now));
+  TokenHost fresh;
+  fresh.token = host.token;
+  fresh.spec = host.spec;
+  fresh.id = host.id;
+  fresh.pool = host.pool;
+  fresh.listed = host.listed;
+  fresh.leftAt = host.leftAt;
+  // Still in the list of hosts whose signs are to be taken.
+  fresh.hasSigns = host.hasSigns;
+  fresh.livesSince = since;
+  fresh.estimate.onAnswered(since);
+  fresh.silence.onAnswered(since);
+  host = std::move(fresh);
+}
+
 void TokenHosts::markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes) {
   std::unordered_set<uint64_t> listed;
   for (const HostSpec& spec : pool.hosts) {
--- a/source/common/token/token_hosts.h
+++ b/source/common/token/token_hosts.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -19,6 +20,7 @@
 #include "common/config/service.h"
 #include "common/token/cold_hosts.h"
 #include "common/token/host_estimate.h"
+#include "common/token/host_life.h"
 #include "common/token/response_score.h"
 #include "common/token/silence_evidence.h"
 
@@ -41,6 +43,8 @@
   kCold,
   /** It left, and a host that appeared later has its endpoint. */
   kEnded,
+  /** It started again under its id: it holds no flow of its earlier life. */
+  kReborn,
 };
 
 /** @return the snake_case name of a kind. */
@@ -51,6 +55,8 @@
   HostChangeKind kind = HostChangeKind::kAdded;
   std::string pool;
   HostSpec host;
+  /** When it was born, where it is reborn and that is known. */
+  std::optional<TimePoint> bornAt{};
 };
 
 /** A host, listed or not. */
@@ -65,6 +71,8 @@
   TimePoint leftAt{};
   /** When a pool first listed it; hosts of one list have one instant. */
   TimePoint firstSeen{};
+  /** What others saw before this says nothing of its present life; unset: no such time is known. */
+  std::optional<TimePoint> livesSince{};
   /** It left, and a host that appeared later has its endpoint: this incarnation has ended. */
   bool ended = false;
   /** It answered far later than its pool's median at the pool's last placement. */
@@ -79,6 +87,8 @@
   /** It said again how long it is cold. */
   bool hasColdNews = false;
 
+  /** @return whether news as of that time is of the host's present life. */
+  bool livedAt(TimePoint time) const { return !livesSince || time >= *livesSince; }
   bool isDead(TimePoint now) const { return now < deadUntil; }
   bool isActive() const { return listed && spec.state == HostState::kActive; }
 };
@@ -118,6 +128,8 @@
   std::vector<HostChange> removePool(TimePoint now, const std::string& name, uint64_t version);
   void setFlowLife(Duration flowLife) { flowLife_ = flowLife; }
 
+  /** The time by both clocks, for the births in pools that are set later. */
+  void setWallClock(const WallClock& clock) { clock_ = clock; }
   /** @return the host that a token names; nullptr where none does. Valid until the next change. */
   TokenHost* find(uint32_t token);
   /** @return the pool; nullptr where it has not arrived. Valid until the next change. */
@@ -137,6 +149,8 @@
  private:
   void admit(TimePoint now, const std::string& pool, const HostSpec& spec,
              std::vector<HostChange>& changes);
+  /** The host started again: nothing of its earlier life counts for this one. */
+  void beginLife(TimePoint now, TokenHost& host, const HostSpec& spec) const;
   /** Marks those that the new list lacks. */
   void markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes);
   /** Finds the hosts that have ended: a later one has their endpoint. Of two hosts in one list
@@ -147,6 +161,7 @@
   void indexByPool();
 
   Duration flowLife_;
+  WallClock clock_;
   std::unordered_map<uint32_t, TokenHost> hosts_;
   std::unordered_map<std::string, TokenPool> pools_;
 };
--- a/source/common/wire/field_reader.h
+++ b/source/common/wire/field_reader.h
@@ -30,12 +30,13 @@
   template <class... Fields>
   void operator()(Fields&... fields) {
     const msgpack::object_array array = current_;
-    if (array.size < sizeof...(Fields) + skip_) {
+    const uint32_t optional = std::exchange(optional_, 0);
+    if (array.size + optional < sizeof...(Fields) + skip_) {
       fail(DecodeErrorCode::kMissingField, array.size);
       return;
     }
     uint32_t index = std::exchange(skip_, 0);
-    ((readAt(array, index++, fields)) && ...);
+    ((index >= array.size || readAt(array, index++, fields)) && ...);
   }
 
   /**
@@ -49,6 +50,9 @@
     }
     current_ = object.via.array;
     skip_ = skip;
+    if constexpr (requires { Struct::kOptionalFields; }) {
+      optional_ = Struct::kOptionalFields;
+    }
     output.visitFields(*this);
     return !error_;
   }
@@ -163,6 +167,8 @@
 
   msgpack::object_array current_{};
   uint32_t skip_ = 0;
+  /** Fields at the end of the next struct that may be missing: they keep their defaults. */
+  uint32_t optional_ = 0;
   std::optional<DecodeError> error_;
   /** Whether error_.field is already the innermost one. */
   bool located_ = false;
--- a/test/common/platform/host_presence_test.cc
+++ b/test/common/platform/host_presence_test.cc
@@ -191,3 +191,58 @@
   LONGS_EQUAL(1, pools["dispatch"].hosts.size());
   LONGS_EQUAL(1, pools["mapstore"].hosts.size());
 }
+
+TEST(HostPresence, ALateWriteOfAnEarlierLifeDoesNotBringItBack) {
+  HostRegistration first = registration(1, HostState::kDraining);
+  first.host.bornMilliseconds = 1000;
+  presence.onRegistered(first);
+  HostRegistration second = registration(1);
+  second.host.bornMilliseconds = 2000;
+  CHECK_TRUE(presence.onRegistered(second));
+  settle();
+  LONGS_EQUAL(1, active());
+  first.version = ++version;
+  CHECK_FALSE(presence.onRegistered(first));
+  settle();
+  LONGS_EQUAL(1, active());
+  CHECK_TRUE(pools["dispatch"].hosts[0].bornMilliseconds == 2000);
+  remove(1);
+  first.version = ++version;
+  CHECK_FALSE(presence.onRegistered(first));
+  settle();
+  LONGS_EQUAL(0, active());
+}
+
+TEST(HostPresence, AnEntryWithoutABirthKeepsTheKnownOne) {
+  HostRegistration told = registration(1);
+  told.host.bornMilliseconds = 1000;
+  presence.onRegistered(told);
+  CHECK_TRUE(presence.onRegistered(registration(1, HostState::kDraining)));
+  settle();
+  LONGS_EQUAL(1, draining());
+  CHECK_TRUE(pools["dispatch"].hosts[0].bornMilliseconds == 1000);
+}
+
+TEST(HostPresence, OfTwoHostsAtOneEndpointTheLaterBornLivesThoughItsEntryIsOlder) {
+  HostRegistration returned = registration(1);
+  returned.host.bornMilliseconds = 3000;
+  HostRegistration between = registration(2);
+  between.host.endpoint = returned.host.endpoint;
+  between.host.bornMilliseconds = 2000;
+  presence.onRegistered(between);
+  presence.onRegistered(returned);
+  settle();
+  LONGS_EQUAL(1, active());
+  STRCMP_EQUAL(nameOf(1).c_str(), pools["dispatch"].hosts[0].name.c_str());
+}
+
+TEST(HostPresence, AnEntryOfAPoolThatIsNotConfiguredEndsNobody) {
+  presence.setNamedPools({"dispatch"});
+  registerHosts(1);
+  HostRegistration foreign = registration(2);
+  foreign.pool = "nobody";
+  foreign.host.endpoint = {0x0A000000U, 80};
+  presence.onRegistered(foreign);
+  settle();
+  LONGS_EQUAL(1, active());
+}
--- /dev/null
+++ b/test/common/token/host_lives_test.cc
@@ -0,0 +1,207 @@
+/** @file A host that starts again under its id: nothing of its earlier life counts. */
+#include <algorithm>
+#include <string>
+
+#include "common/base/hash.h"
+#include "common/token/token_director.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kUnixStart = 1796264498000;
+constexpr TimePoint kStart{seconds(1000)};
+
+HostSpec makeHost(uint64_t number, uint64_t born = kUnixStart - 60000) {
+  HostSpec host;
+  host.name = "h-" + std::to_string(number);
+  host.endpoint = {0x0A800000 + static_cast<uint32_t>(number), 8080};
+  host.zone = "bole";
+  host.incarnation = number;
+  host.bornMilliseconds = born;
+  return host;
+}
+
+}  // namespace
+
+TEST_GROUP(HostLives) {
+  RandomSource random{7};
+  TokenDirector director{{"bole", seconds(60)}, random};
+  TimePoint now = kStart;
+  const uint32_t token = flowTokenOf(1);
+
+  void setup() override {
+    Service service;
+    service.name = "pickup";
+    service.address = 0xC6120001;
+    service.port = 443;
+    service.groups = {{"dispatch", 1}};
+    director.setService(service);
+    setHosts({makeHost(1), makeHost(2)});
+  }
+  /** @return Unix milliseconds now. */
+  uint64_t unixNow() const {
+    return kUnixStart +
+           static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(now - kStart).count());
+  }
+  std::vector<HostChange> setHosts(const std::vector<HostSpec>& hosts) {
+    director.setWallClock({now, unixNow()});
+    return director.setPool(now, {"dispatch", hosts, {10.0, 2000}});
+  }
+  static bool has(const std::vector<HostChange>& changes, HostChangeKind kind) {
+    return std::any_of(changes.begin(), changes.end(),
+                       [kind](const HostChange& change) { return change.kind == kind; });
+  }
+  FlowDecision send(uint32_t flow, uint32_t dataBytes = 0, uint32_t of = flowTokenOf(1)) {
+    FlowPacket packet;
+    packet.hash = FlowHash{flow};
+    packet.key.caller = {flow, 40000};
+    packet.service = serviceIdOf("pickup");
+    packet.phase = PacketPhase::kContinuing;
+    packet.token = of;
+    packet.sequence = 7;
+    packet.dataBytes = dataBytes;
+    const FlowDecision decision = director.decide(now, packet, "");
+    director.onCaughtUp(now);
+    return decision;
+  }
+  /** Host 1 starts again after the packets so far. */
+  std::vector<HostChange> startAgain() {
+    now += seconds(1);
+    return setHosts({makeHost(1, unixNow()), makeHost(2)});
+  }
+};
+
+TEST(HostLives, FlowsThatRestedSinceBeforeTheBirthAreResetAndNoOthers) {
+  send(1);
+  send(2, 100);
+  send(3, 0, flowTokenOf(2));
+  now += seconds(1);
+  const uint64_t born = unixNow();
+  now += milliseconds(100);
+  send(4);
+  send(2, 100);
+  const auto changes = setHosts({makeHost(1, born), makeHost(2)});
+  CHECK_TRUE(has(changes, HostChangeKind::kReborn));
+  const auto resets = director.takeResets();
+  LONGS_EQUAL(1, resets.size());
+  LONGS_EQUAL(1, resets[0].key.caller.address);
+  CHECK_TRUE(resets[0].reason == RefusalReason::kHostEnded);
+  // The host itself answers for what it does not hold.
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(send(1)));
+}
+
+TEST(HostLives, FlowsSeenWithinTheErrorOfClocksAreLeftToTheHost) {
+  send(1);
+  now += kClockError / 2;
+  setHosts({makeHost(1, unixNow()), makeHost(2)});
+  LONGS_EQUAL(0, director.takeResets().size());
+}
+
+TEST(HostLives, ABirthInTheFutureTellsLivesApartButResetsNothing) {
+  send(1);
+  now += seconds(1);
+  CHECK_TRUE(has(setHosts({makeHost(1, unixNow() + 5000), makeHost(2)}), HostChangeKind::kReborn));
+  LONGS_EQUAL(0, director.takeResets().size());
+}
+
+TEST(HostLives, ABirthThatIsNotToldIsNoOtherLife) {
+  send(1);
+  now += seconds(1);
+  CHECK_FALSE(has(setHosts({makeHost(1, 0), makeHost(2)}), HostChangeKind::kReborn));
+  CHECK_FALSE(has(setHosts({makeHost(1), makeHost(2)}), HostChangeKind::kReborn));
+  LONGS_EQUAL(0, director.takeResets().size());
+  // The known birth was kept meanwhile.
+  CHECK_TRUE(has(startAgain(), HostChangeKind::kReborn));
+}
+
+TEST(HostLives, AnOlderLifeAfterTheNewerChangesNothing) {
+  startAgain();
+  HostSpec older = makeHost(1);
+  older.state = HostState::kDraining;
+  older.endpoint.port = 1;
+  send(1);
+  now += seconds(1);
+  LONGS_EQUAL(0, setHosts({older, makeHost(2)}).size());
+  const FlowDecision decision = send(1);
+  LONGS_EQUAL(8080, std::get<ForwardToHost>(decision).endpoint.port);
+  LONGS_EQUAL(0, director.takeResets().size());
+  LONGS_EQUAL(2, director.listedHostCount());
+}
+
+TEST(HostLives, ADrainMarkEndsWithItsLife) {
+  HostSpec draining = makeHost(1);
+  draining.state = HostState::kDraining;
+  setHosts({draining, makeHost(2)});
+  CHECK_TRUE(has(startAgain(), HostChangeKind::kActive));
+}
+
+TEST(HostLives, AHostThatLeftAndStartsAgainIsAddedAndItsRestingFlowsAreReset) {
+  send(1);
+  CHECK_TRUE(has(setHosts({makeHost(2)}), HostChangeKind::kLeft));
+  const auto changes = startAgain();
+  CHECK_TRUE(has(changes, HostChangeKind::kAdded));
+  CHECK_TRUE(has(changes, HostChangeKind::kReborn));
+  LONGS_EQUAL(1, director.takeResets().size());
+}
+
+TEST(HostLives, AColdTimeBeginsAgainThoughTheSameIsLeft) {
+  HostSpec cold = makeHost(1);
+  cold.coldMilliseconds = 1500;
+  CHECK_TRUE(has(setHosts({cold, makeHost(2)}), HostChangeKind::kCold));
+  now += seconds(5);
+  LONGS_EQUAL(0, director.coldHostCount(now));
+  cold.bornMilliseconds = unixNow();
+  CHECK_TRUE(has(setHosts({cold, makeHost(2)}), HostChangeKind::kCold));
+  LONGS_EQUAL(1, director.coldHostCount(now));
+}
+
+TEST(HostLives, SilenceThatBeganInTheEarlierLifeDoesNotKillTheNewOne) {
+  startAgain();
+  now += milliseconds(200);
+  send(9);
+  director.learnSilent(now, {{token, 400}});
+  LONGS_EQUAL(0, director.takeResets().size());
+  now += seconds(1);
+  director.learnSilent(now, {{token, 900}});
+  LONGS_EQUAL(1, director.takeResets().size());
+}
+
+TEST(HostLives, AHostThatWasDeadBySilenceLivesAgain) {
+  Service service;
+  service.name = "pickup";
+  service.address = 0xC6120001;
+  service.port = 443;
+  service.groups = {{"dispatch", 1}};
+  service.repeatable = true;
+  director.setService(service);
+  director.learnSilent(now, {{token, 400}});
+  CHECK_TRUE(std::holds_alternative<RefuseFlow>(send(1, 100)));
+  startAgain();
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(send(2, 100)));
+}
+
+TEST(HostLives, TellsTheZoneThatItsEarlierSilenceIsOver) {
+  director.takeSigns();
+  startAgain();
+  const auto signs = director.takeSigns();
+  LONGS_EQUAL(1, signs.size());
+  CHECK_TRUE(signs[0].token == token);
+  LONGS_EQUAL(0, signs[0].copies);
+  CHECK_TRUE(signs[0].answeredAt == now);
+}
+
+TEST(HostLives, StandingsFromBeforeTheBirthDoNotCount) {
+  TokenHosts hosts{seconds(60)};
+  hosts.setWallClock({now, unixNow()});
+  hosts.setPool(now, {"dispatch", {makeHost(1, unixNow() - 300)}}, 1);
+  const TokenHost* host = hosts.find(token);
+  CHECK_FALSE(host->livedAt(now - milliseconds(301)));
+  CHECK_TRUE(host->livedAt(now - milliseconds(300)));
+}
+
+}  // namespace umberhold
--- a/test/common/wire/codec_test.cc
+++ b/test/common/wire/codec_test.cc
@@ -132,6 +132,30 @@
   }));
 }
 
+TEST(Codec, HostsOfNodesThatTellNoBirthAreRead) {
+  PeerChanges changes;
+  HostEvent event;
+  event.host.name = "i-1";
+  event.version = 5;
+  event.madeAt = 4;
+  changes.events.push_back(event);
+  const auto encoded = encodePeerChanges(changes);
+  std::string earlier = valueOf(encoded);
+  // The host is an array of 12, the last of them its birth, 0; behind it the event goes on.
+  const size_t header = earlier.find("\x9C\xA3i-1");
+  const size_t birth = earlier.find(std::string("\x00\x05\x04\xC2", 4));
+  CHECK_TRUE(header != std::string::npos && birth != std::string::npos);
+  earlier[header] = '\x9B';
+  earlier.erase(birth, 1);
+  const auto decoded = decodePeerChanges(earlier);
+  CHECK_TRUE(isOk(decoded));
+  CHECK_TRUE(valueOf(decoded) == changes);
+  // One field more may not be missing.
+  earlier[header] = '\x9A';
+  earlier.erase(birth - 1, 1);
+  CHECK_FALSE(isOk(decodePeerChanges(earlier)));
+}
+
 TEST(CodecProperties, EveryTruncatedMessageIsRefused) {
   CHECK(rc::check("no prefix of a message decodes", [] {
     const std::string bytes = valueOf(encode(randomMessage()));
--- a/test/fuzz/fuzz_seeds_main.cc
+++ b/test/fuzz/fuzz_seeds_main.cc
@@ -75,6 +75,22 @@
   write(folder, number++, valueOf(encode(Message{chunk})));
 }
 
+/** Lists and events of the store, valid and not. */
+void writeStoreAnswers(const std::filesystem::path& folder) {
+  const std::string host =
+      R"({"meta":{"name":"i-1","revision":7,"made":3},"spec":{"service":"s","address":"10.0.0.1:80",)"
+      R"("zone":"z","slots":2,"state":"ready","cold_remaining_ms":250,"born":1796264498000}})";
+  const std::string configuration =
+      R"({"meta":{"name":"main","revision":7},"spec":{"version":7,"routes":[{"name":"r",)"
+      R"("host":"198.18.0.1","path_prefix":"/443/","kind":"safe","traffic_split":[{"service":"s",)"
+      R"("weight":9}]}],"services":[{"name":"s","cold_start_s":2,"cold_per_s":1}],"limits":{}}})";
+  size_t number = 0;
+  for (const std::string& item : {host, configuration, host + ",7," + host, host + ",1e999"}) {
+    write(folder, number++, R"({"items":[)" + item + R"(],"more":false,"at":9})");
+    write(folder, number++, R"({"events":[{"gone":false,"object":)" + item + R"(}],"at":9})");
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -85,5 +101,6 @@
   const std::filesystem::path root = argv[1];
   writePackets(root / "packet_fuzzer");
   writeMessages(root / "message_fuzzer");
+  writeStoreAnswers(root / "store_fuzzer");
   return 0;
 }
--- /dev/null
+++ b/test/platform/store/store_copy_test.cc
@@ -0,0 +1,73 @@
+/** @file What entries that are not of their form do to the hosts that a node knows. */
+#include "platform/store/store_copy.h"
+
+#include "test/support/without_leak_detection.h"
+
+using namespace umberhold;
+using namespace umberhold::platform;
+
+TEST_GROUP_BASE(StoreCopyEntries, test::WithoutLeakDetection) {
+  StoreCopy copy{"addis", HostPresenceOptions{}};
+  TimePoint now{std::chrono::seconds(100)};
+
+  void setup() override {
+    const auto page = decodePage(
+        StoreKind::kConfiguration,
+        R"({"items":[{"meta":{"name":"main","revision":1},"spec":{"version":1,"routes":[],)"
+        R"("services":[{"name":"s"}]}}],"more":false,"at":1})");
+    copy.apply(now, valueOf(page).objects.at(0));
+    write("i-1", 2, R"("state":"ready")");
+  }
+  bool write(const std::string& name, uint64_t revision, const std::string& fields,
+             const std::string& service = "s") {
+    const auto changes = decodeChanges(
+        StoreKind::kHosts,
+        R"({"events":[{"gone":false,"object":{"meta":{"name":")" + name + R"(","revision":)" +
+            std::to_string(revision) + R"(},"spec":{"service":")" + service +
+            R"(","address":"10.0.0.1:80","zone":"z",)" + fields + R"(}}}],"at":9})");
+    CHECK_TRUE(isOk(changes));
+    const bool isRead = copy.apply(now, valueOf(changes).events.at(0));
+    copy.settle(now);
+    return isRead;
+  }
+  /** @return the only host of the only pool. */
+  HostSpec host() {
+    std::vector<HostSpec> hosts;
+    for (const CatalogChange& change : copy.objects().whole().changes) {
+      if (const auto* pool = std::get_if<HostPool>(&change)) {
+        hosts.insert(hosts.end(), pool->hosts.begin(), pool->hosts.end());
+      }
+    }
+    LONGS_EQUAL(1, hosts.size());
+    return hosts.at(0);
+  }
+};
+
+TEST(StoreCopyEntries, AnUnknownStateTakesAHostOutOfUseUntilItsNextWrite) {
+  CHECK_FALSE(write("i-1", 3, R"("state":"odd")"));
+  CHECK_TRUE(host().state == HostState::kDraining);
+  CHECK_TRUE(write("i-1", 4, R"("state":"ready")"));
+  CHECK_TRUE(host().state == HostState::kActive);
+}
+
+TEST(StoreCopyEntries, OtherUnreadableEntriesLeaveAKnownHostAsItIs) {
+  CHECK_FALSE(write("i-1", 3, R"("state":"ready","slots":"two")"));
+  CHECK_TRUE(host().state == HostState::kActive);
+}
+
+TEST(StoreCopyEntries, NobodyIsEndedByAnEntryThatNamesNoHost) {
+  write("i-2", 3, R"("state":"odd")");
+  write("i-xyz", 4, R"("state":"ready")");
+  write("i-3", 5, R"("state":"ready")", "not-configured");
+  STRCMP_EQUAL("i-1", host().name.c_str());
+  CHECK_TRUE(host().state == HostState::kActive);
+}
+
+TEST(StoreCopyEntries, ANewLifeTakesTheDrainMarkAway) {
+  write("i-1", 3, R"("state":"draining","born":1000)");
+  CHECK_TRUE(host().state == HostState::kDraining);
+  write("i-1", 4, R"("state":"ready","born":2000)");
+  CHECK_TRUE(host().state == HostState::kActive);
+  write("i-1", 5, R"("state":"draining","born":1000)");
+  CHECK_TRUE(host().state == HostState::kActive);
+}
