Mend what the reviews of the joined parts found

Cause: read by others than their writers. A copy of an opening that waits was placed beside it once its pool was named no more, gone, or without a host; one credit for all parts of a split let a part of a hundredth take one opening in six; the speed of a host's earlier life came back with the zone's next answer; answers of nodes of an earlier release, which lack the speeds, were refused as a whole; a list with an element without a readable name could end hosts; the end of a host or an evacuation with an unreadable revision was lost.

Change: copies wait with their opening; credit by part; speeds of a host that began within 40 s are not taken, and are clamped as reports are; speeds and work times are optional fields; such a list ends nobody; an end and an evacuation count by their name. The target of a pool is forgotten 2 s after the last answer of its service.

Tests: ACopyWaitsOnWhateverBecameOfItsPool, APartTakesOnlyWhatOpeningsEarnedTowardsIt, TheSpeedOfTheEarlierLifeIsNotLearntAgain, AnEndWhoseRevisionIsUnreadableIsStillOne, AnEvacuationSaysAllByItsName, an answer of 11 fields; two tests made stricter.

--- a/source/common/admission/admission.cc
+++ b/source/common/admission/admission.cc
@@ -8,6 +8,9 @@
 
 /** A node whose open flows have fewer requests under way sees nothing of a full pool. */
 constexpr double kCalmUse = 1.0;
+/** A service without an answer for so long no longer says how soon the pool must answer: it may
+ * have been removed, or have another target now. */
+constexpr Duration kTargetMemory = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -101,9 +104,11 @@
   state.use.onEnded(now, request);
   state.atHosts.add(now, request.took);
   if (needs.targetLatency > Duration{0}) {
-    state.targetLatency = state.targetLatency == Duration{0}
-                              ? needs.targetLatency
-                              : std::min(state.targetLatency, needs.targetLatency);
+    const bool isOld = now - state.targetAt >= kTargetMemory;
+    if (state.targetLatency == Duration{0} || isOld || needs.targetLatency <= state.targetLatency) {
+      state.targetLatency = needs.targetLatency;
+      state.targetAt = now;
+    }
     if (request.took > needs.targetLatency) {
       ++countersOf(pool, needs).lateByEstimate;
     }
@@ -112,7 +117,7 @@
 
 PoolRoom Admission::roomOf(TimePoint now, const std::string& pool, const PoolSize& size) const {
   PoolRoom room;
-  room.part = parts_->partOf(now, pool, size.sendingNodes);
+  room.part = 1.0 / std::max(size.sendingNodes, 1U);
   const Pool* state = known(pool);
   if (state != nullptr) {
     room.requests =
--- a/source/common/admission/admission.h
+++ b/source/common/admission/admission.h
@@ -75,9 +75,6 @@
  public:
   Admission(OpeningLimits openings, RoomLimits room);
 
-  /** @param parts borrowed; must outlive this object. Without them, each node has an equal part. */
-  void setRoomParts(const RoomParts& parts) { parts_ = &parts; }
-
   /**
    * @param size asked for only where the pool is not calm.
    * @return what becomes of an opening that arrived, or that take() gave. One that is to wait is
@@ -124,6 +121,8 @@
     TimeOfLate atHosts;
     /** The shortest target latency of the services that use it; 0: none has one. */
     Duration targetLatency{0};
+    /** When a service with that target last had an answer. */
+    TimePoint targetAt{};
     /** As of the last opening that was not placed at once. */
     PoolRoom room;
   };
@@ -144,8 +143,6 @@
   /** OpeningLimits::openingsPerSlot is above 0; otherwise no opening waits. */
   const bool holdsOpenings_;
   OpeningQueue queue_;
-  EqualRoomParts equalParts_;
-  const RoomParts* parts_ = &equalParts_;
   std::map<std::string, Pool> pools_;
   std::map<std::pair<std::string, std::string>, AdmissionCounters> counters_;
 };
--- a/source/common/admission/opening_queue.cc
+++ b/source/common/admission/opening_queue.cc
@@ -53,7 +53,9 @@
                                  FlowHash flow, const OpeningClaim& claim) {
   const auto turn = turns_.find(flow);
   if (turn != turns_.end()) {
-    const OpeningTurn given = turn->second.turn;
+    // A pool that the opening has not waited for decides on it as on any other.
+    const bool isOfPool = turn->second.pool == pool;
+    const OpeningTurn given = isOfPool ? turn->second.turn : OpeningTurn::kPlace;
     turns_.erase(turn);
     return given;
   }
--- a/source/common/admission/pool_use.h
+++ b/source/common/admission/pool_use.h
@@ -11,7 +11,8 @@
 
 namespace umberhold {
 
-/** A time that follows the last dozen of samples and is forgotten when none comes. Not thread safe.
+/** A time that follows about the last eight samples and is forgotten when none comes. Not thread
+ * safe.
  */
 class TimeOfLate {
  public:
--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -46,6 +46,9 @@
 
   bool operator==(const HostObservation&) const = default;
 
+  /** Fields at the end that nodes of an earlier release leave out. */
+  static constexpr uint32_t kOptionalFields = 1;
+
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(token, requests, percentOfUsual, workPercent);
@@ -170,6 +173,9 @@
 
   bool operator==(const PeerChanges&) const = default;
 
+  /** Fields at the end that nodes of an earlier release leave out. */
+  static constexpr uint32_t kOptionalFields = 1;
+
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
--- a/source/common/overflow/split_overflow.cc
+++ b/source/common/overflow/split_overflow.cc
@@ -50,11 +50,14 @@
   if (!chosen) {
     return std::nullopt;
   }
-  credit_ += passingPart(options_.mostPart, parts[*chosen].weight);
-  if (credit_ < 1.0) {
+  // Each part has its own: what openings earn towards a large part is not spent on a small one.
+  credits_.resize(parts.size(), start_);
+  double& credit = credits_[*chosen];
+  credit += passingPart(options_.mostPart, parts[*chosen].weight);
+  if (credit < 1.0) {
     return std::nullopt;
   }
-  credit_ -= 1.0;
+  credit -= 1.0;
   return chosen;
 }
 
--- a/source/common/overflow/split_overflow.h
+++ b/source/common/overflow/split_overflow.h
@@ -53,7 +53,7 @@
   /** @param random nodes start at different places, so that few flows over many nodes keep to the
    * bound too. */
   SplitOverflow(OverflowOptions options, RandomSource& random)
-      : options_(options), credit_(options.mode == OverflowMode::kOff ? 0.0 : random.unit()) {}
+      : options_(options), start_(options.mode == OverflowMode::kOff ? 0.0 : random.unit()) {}
 
   /**
    * An opening arrived whose part has no room.
@@ -72,8 +72,9 @@
 
  private:
   OverflowOptions options_;
-  /** Openings that may overflow, in units of one; the whole ones have. */
-  double credit_ = 0.0;
+  double start_ = 0.0;
+  /** By part: openings that may overflow into it, in units of one; the whole ones have. */
+  std::vector<double> credits_;
 };
 
 }  // namespace umberhold
--- a/source/common/server/admission_metrics.cc
+++ b/source/common/server/admission_metrics.cc
@@ -37,7 +37,9 @@
   MetricFamilyBuilder late = counterFamily(
       "umberhold_late_requests_total", "Requests whose host alone took longer than callers want");
   for (const auto& [key, count] : admission.counters()) {
-    const auto& [pool, service] = key;
+    // No structured binding: a lambda can't capture one in C++20 by clang 14.
+    const std::string& pool = key.first;
+    const std::string& service = key.second;
     const auto add = [&](uint64_t value, const char* outcome) {
       openings.add(static_cast<double>(value),
                    {metricLabel("pool", pool), metricLabel("service", service),
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -1,6 +1,7 @@
 #include "common/token/token_director.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,9 @@
 /** A flow is refused no sooner than at this copy of a packet; see HostEstimate::isDeadSince. */
 constexpr uint32_t kCopiesOfSilentHost = 3;
 constexpr double kPercent = 100.0;
+/** Speeds name a host by its token alone, and the zone's measures of an earlier life outlast it: 24
+ * nodes with 6 samples each, halving every 8 s, fade within 37 s (by arithmetic). */
+constexpr Duration kSpeedsOfEarlierLife = std::chrono::seconds(40);
 /** Callers of this node alone whose data a host leaves unacknowledged, without a sign of life
  * since, before it counts as dead. Where nodes share what they see, two nodes are needed and three
  * copies: see ZoneSilence. */
@@ -204,29 +208,34 @@
 TokenDirector::QueuedOpening TokenDirector::queue(TimePoint now, ServiceEntry& service,
                                                   const FlowPacket& packet,
                                                   std::string_view bytes) {
+  if (admission_.isWaiting(packet.hash)) {
+    // A copy of an opening that waits would be placed beside it, whatever became of its pool.
+    admission_.hold(now, std::string(*admission_.poolOf(packet.hash)), service.needs(), packet.hash,
+                    bytes);
+    return {OpeningTurn::kWait, {}, {}};
+  }
   const std::string* waited = waitedFor(service, packet);
   const std::string* due = waited == nullptr ? service.groups.next() : waited;
   const TokenPool* pool = due == nullptr ? nullptr : hosts_.findPool(*due);
   if (pool == nullptr) {
     return {};
   }
-  const OpeningTurn turn = admission_.turnOf(now, *due, service.needs(), packet.hash,
-                                             [&] { return sizeOf(now, *pool); });
+  const auto size = [&] { return sizeOf(now, *pool); };
+  // By reference: a copy of the function would be allocated for each opening.
+  const OpeningTurn turn =
+      admission_.turnOf(now, *due, service.needs(), packet.hash, std::cref(size));
   if (turn == OpeningTurn::kPlace) {
     return {turn, waited == nullptr ? std::string{} : *waited, {}};
   }
   if (turn != OpeningTurn::kWait) {
     return {turn, {}, {}};
   }
-  // A copy of an opening that waits would be placed twice.
-  if (!admission_.isWaiting(packet.hash)) {
-    const std::string* other = overflowPool(now, service, *due);
-    // The turn is taken now: openings after this one are due to the other parts of the split too,
-    // however long this one waits, and a part without room is owed nothing later.
-    service.groups.takeTurn();
-    if (other != nullptr) {
-      return {OpeningTurn::kPlace, *other, *due};
-    }
+  const std::string* other = overflowPool(now, service, *due);
+  // The turn is taken now: openings after this one are due to the other parts of the split too,
+  // however long this one waits, and a part without room is owed nothing later.
+  service.groups.takeTurn();
+  if (other != nullptr) {
+    return {OpeningTurn::kPlace, *other, *due};
   }
   admission_.hold(now, *due, service.needs(), packet.hash, bytes);
   return {turn, {}, {}};
@@ -271,11 +280,7 @@
 }
 
 uint32_t TokenDirector::sendingNodes(const TokenPool& pool) const {
-  std::set<std::string_view> zones;
-  for (const TokenHost* host : pool.hosts) {
-    zones.insert(host->spec.zone);
-  }
-  return zoneNodes_ * static_cast<uint32_t>(zones.size());
+  return zoneNodes_ * pool.zoneCount;
 }
 
 std::vector<std::string> TokenDirector::takeReleased(TimePoint now) {
@@ -414,8 +419,10 @@
 void TokenDirector::learnSpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds) {
   for (const LearnedSpeed& learned : speeds) {
     TokenHost* host = hosts_.find(learned.token);
-    if (host != nullptr && learned.percentOfUsual > 0) {
-      const HostSpeed speed{learned.percentOfUsual / kPercent,
+    if (host != nullptr && learned.percentOfUsual > 0 &&
+        host->livedAt(now - kSpeedsOfEarlierLife)) {
+      const double told = learned.percentOfUsual / kPercent;
+      const HostSpeed speed{std::clamp(told, kLeastWorkRatio, kMostWorkRatio),
                             static_cast<double>(learned.samples)};
       host->speed.learn(now, speed);
       noteSpeed(*host, speed.speed);
--- a/test/common/admission/admission_test.cc
+++ b/test/common/admission/admission_test.cc
@@ -103,6 +103,7 @@
   CHECK_TRUE(waiting >= 2);
   now += milliseconds(150);
   CHECK_FALSE(admission.take(now).empty());
+  CHECK_TRUE(turnOf(flows, kUsual) == OpeningTurn::kPlace);
 }
 
 TEST(Admission, WhereNoOpeningIsToWaitNoneYields) {
--- a/test/common/overflow/split_overflow_test.cc
+++ b/test/common/overflow/split_overflow_test.cc
@@ -41,9 +41,29 @@
   PartUse idle = kSpare;
   idle.openings = 0.0;
   const std::vector<SplitPart> parts = {{0.2, kFull}, {0.4, kSpare}, {0.4, idle}};
+  int chosen = 0;
   for (int opening = 0; opening < 100; ++opening) {
-    LONGS_EQUAL(2, overflow.choose(parts, 0).value_or(2));
+    const auto part = overflow.choose(parts, 0);
+    chosen += part ? 1 : 0;
+    LONGS_EQUAL(2, part.value_or(2));
   }
+  CHECK_TRUE(chosen >= 60);
+}
+
+/** Openings that a large part earned went to a small one whenever that was the less used for a
+ * moment: one in six of them to a part of a hundredth. */
+TEST(SplitOverflow, APartTakesOnlyWhatOpeningsEarnedTowardsIt) {
+  SplitOverflow overflow{{OverflowMode::kByRoom, 0.1}, random};
+  PartUse idle = kSpare;
+  idle.openings = 0.0;
+  int small = 0;
+  for (int opening = 0; opening < 600; ++opening) {
+    const bool isSmallIdle = opening % 6 == 5;
+    const std::vector<SplitPart> parts = {
+        {0.495, kFull}, {0.495, isSmallIdle ? kSpare : idle}, {0.01, isSmallIdle ? idle : kSpare}};
+    small += overflow.choose(parts, 0) == std::optional<size_t>(2) ? 1 : 0;
+  }
+  CHECK_TRUE(small <= 2);
 }
 
 TEST(SplitOverflow, NothingGoesWhereTheOthersHaveNoRoom) {
--- a/test/common/token/host_lives_test.cc
+++ b/test/common/token/host_lives_test.cc
@@ -195,6 +195,19 @@
   CHECK_TRUE(signs[0].answeredAt == now);
 }
 
+TEST(HostLives, TheSpeedOfTheEarlierLifeIsNotLearntAgain) {
+  director.learnSpeeds(now, {{token, 25, 50}});
+  LONGS_EQUAL(1, director.speeds(now).known);
+  now += seconds(1);
+  setHosts({makeHost(1, unixNow()), makeHost(2)});
+  LONGS_EQUAL(0, director.speeds(now).known);
+  // The zone's reader still has it.
+  director.learnSpeeds(now + seconds(1), {{token, 25, 50}});
+  LONGS_EQUAL(0, director.speeds(now + seconds(1)).known);
+  director.learnSpeeds(now + seconds(41), {{token, 25, 50}});
+  LONGS_EQUAL(1, director.speeds(now + seconds(41)).known);
+}
+
 TEST(HostLives, StandingsFromBeforeTheBirthDoNotCount) {
   TokenHosts hosts{seconds(60)};
   hosts.setWallClock({now, unixNow()});
--- a/test/common/token/token_director_overflow_test.cc
+++ b/test/common/token/token_director_overflow_test.cc
@@ -2,6 +2,7 @@
  */
 #include "common/token/token_director.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -68,6 +69,7 @@
     }
     director_.setPool(now_, hosts);
   }
+  void removePool(const std::string& pool) { director_.removePool(now_, pool); }
   /** @return the pool that a new flow goes to; "" where it waits or is refused. */
   std::string open(const std::string& service = kService) { return openAs(++flow_, service); }
   std::string openAs(uint64_t flow, const std::string& service = kService) {
@@ -280,6 +282,29 @@
   STRCMP_EQUAL("", node.openAs(waiting.front()).c_str());
 }
 
+/** A copy that comes after its pool is named no more, gone, or without a host that may take flows
+ * was placed beside the opening that waited: the flow got two hosts, or a reset. */
+TEST(TokenDirectorOverflow, ACopyWaitsOnWhateverBecameOfItsPool) {
+  const auto copyAfter = [](const std::function<void(OverflowingNode&)>& change) {
+    OverflowingNode node(OverflowMode::kOff);
+    node.fillSmall();
+    uint64_t waiting = 0;
+    for (int flow = 0; flow < 100 && waiting == 0; ++flow) {
+      waiting = node.open().empty() ? node.lastFlow() : 0;
+    }
+    CHECK_TRUE(waiting != 0);
+    change(node);
+    return node.openAs(waiting);
+  };
+  STRCMP_EQUAL("", copyAfter([](OverflowingNode& node) {
+                     node.addService(kService, {{kLarge, 1}});
+                   }).c_str());
+  STRCMP_EQUAL("", copyAfter([](OverflowingNode& node) { node.removePool(kSmall); }).c_str());
+  STRCMP_EQUAL("", copyAfter([](OverflowingNode& node) {
+                     node.setHosts(kSmall, 2, HostState::kDraining);
+                   }).c_str());
+}
+
 TEST(TokenDirectorOverflow, APoolThatTheSplitNoLongerNamesTakesNothing) {
   OverflowingNode node(OverflowMode::kByRoom);
   node.fillSmall();
--- a/test/common/wire/codec_test.cc
+++ b/test/common/wire/codec_test.cc
@@ -147,6 +147,11 @@
   CHECK_TRUE(header != std::string::npos && birth != std::string::npos);
   earlier[header] = '\x9B';
   earlier.erase(birth, 1);
+  // The answer is an array of 12, the last of them its speeds, an empty list.
+  CHECK_EQUAL('\x9C', earlier.front());
+  CHECK_EQUAL('\x90', earlier.back());
+  earlier.front() = '\x9B';
+  earlier.pop_back();
   const auto decoded = decodePeerChanges(earlier);
   CHECK_TRUE(isOk(decoded));
   CHECK_TRUE(valueOf(decoded) == changes);
--- a/test/platform/store/store_messages_test.cc
+++ b/test/platform/store/store_messages_test.cc
@@ -57,8 +57,9 @@
   const std::string good = R"({"meta":{"name":"i-1","revision":7,"made":3},"spec":)" + kHost + "}";
   for (const std::string& bad :
        {std::string("7"), std::string("null"), std::string("[]"), std::string("{}"),
-        std::string(R"({"meta":7})"), std::string(R"({"meta":{"name":7}})"),
-        std::string("\"\xFF\""), std::string(R"({"meta":{"name":"i-2"},"spec":"\ud800"})"),
+        std::string(R"({"meta":{"name":""}})"), std::string(R"({"meta":7})"),
+        std::string(R"({"meta":{"name":7}})"), std::string("\"\xFF\""),
+        std::string(R"({"meta":{"name":"i-2"},"spec":"\ud800"})"),
         std::string(R"({"meta":{"name":"i-2"},"spec":1e999})"), std::string(R"({"a":nonsense})")}) {
     for (const std::string& items : {bad + "," + good, good + "," + bad}) {
       const auto decoded =
@@ -79,6 +80,23 @@
   }
 }
 
+TEST(StoreMessages, AnEndWhoseRevisionIsUnreadableIsStillOne) {
+  const auto changes = decodeChanges(
+      StoreKind::kHosts,
+      R"({"events":[{"gone":true,"object":{"meta":{"name":"i-1","revision":"x"}}}],"at":9})");
+  CHECK_TRUE(isOk(changes));
+  CHECK_TRUE(valueOf(changes).events.at(0).gone);
+  LONGS_EQUAL(9, valueOf(changes).events.at(0).revision);
+}
+
+TEST(StoreMessages, AnEvacuationSaysAllByItsName) {
+  const auto page =
+      decodePage(StoreKind::kEvacuations,
+                 R"({"items":[{"meta":{"name":"bole","revision":"x"}}],"more":false,"at":9})");
+  CHECK_TRUE(isOk(page));
+  CHECK_TRUE(std::holds_alternative<Evacuation>(valueOf(page).objects.at(0).specification));
+}
+
 TEST(StoreMessages, AnUnknownStateIsNeitherReadyNorADrainMark) {
   for (const char* state : {"Ready", "starting", ""}) {
     const auto decoded = decodePage(
