--- a/source/common/token/flow_placement.cc
+++ b/source/common/token/flow_placement.cc
@@ -1,7 +1,6 @@
 #include "common/token/flow_placement.h"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <utility>
 
@@ -86,8 +85,7 @@
     notePace(candidate);
     if (candidate.slowness > options_.weighedRatio) {
       const double excess = candidate.slowness / options_.weighedRatio;
-      candidate.lateness = excess * excess;
-      candidate.load *= candidate.lateness;
+      candidate.load *= excess * excess;
     }
   }
 }
@@ -111,38 +109,6 @@
 }
 
 const FlowPlacement::Candidate* FlowPlacement::best() {
-  return options_.choosesOfTwo ? betterOfTwo() : leastLoaded();
-}
-
-const FlowPlacement::Candidate* FlowPlacement::betterOfTwo() {
-  const Candidate* first = drawn();
-  const Candidate* second = drawn();
-  return first != nullptr && second->load < first->load ? second : first;
-}
-
-const FlowPlacement::Candidate* FlowPlacement::drawn() {
-  double tier = std::numeric_limits<double>::infinity();
-  double total = 0.0;
-  const Candidate* chosen = nullptr;
-  for (const Candidate& candidate : candidates_) {
-    const double ownTier = candidate.tier(evidence_.leavesZone);
-    if (ownTier > tier) {
-      continue;
-    }
-    if (ownTier < tier) {
-      tier = ownTier;
-      total = 0.0;
-    }
-    const double chance = candidate.weight() / candidate.lateness;
-    total += chance;
-    if (random_.unit() * total < chance) {
-      chosen = &candidate;
-    }
-  }
-  return chosen;
-}
-
-const FlowPlacement::Candidate* FlowPlacement::leastLoaded() {
   const Candidate* best = nullptr;
   double bestRank = 0.0;
   uint64_t equals = 0;
@@ -236,7 +202,7 @@
   evidence_.poolAppliedAt = pool.appliedAt;
 }
 
-double FlowPlacement::Candidate::tier(bool leavesZone) const {
+double FlowPlacement::Candidate::rank(bool leavesZone) const {
   double tier = otherZone ? kTier : 0.0;
   if (leavesZone && !otherZone) {
     tier += 2 * kTier;
@@ -247,7 +213,7 @@
   if (vanished) {
     tier += 4 * kTier;
   }
-  return tier;
+  return tier + load;
 }
 
 }  // namespace umberhold
--- a/source/common/token/flow_placement.h
+++ b/source/common/token/flow_placement.h
@@ -73,8 +73,6 @@
     double slowness = 1.0;
     /** See HostSpeed; 1 where speeds are not learnt. */
     double speed = 1.0;
-    /** Its load is scaled by it, for late answers. */
-    double lateness = 1.0;
     /** Load for its weight, the new flow included. */
     double load = 0.0;
 
@@ -85,9 +83,7 @@
     bool isPoor() const { return silent || avoided || host->slow || vanished; }
     /** @return the order of preference, lower first. @param leavesZone hosts of the own zone come
      * after others. */
-    double rank(bool leavesZone) const { return tier(leavesZone) + load; }
-    /** @return the part of rank() that goes before all load. */
-    double tier(bool leavesZone) const;
+    double rank(bool leavesZone) const;
   };
 
   /** Fills candidates_. */
@@ -111,14 +107,8 @@
   double partByLoad(TimePoint now, const TokenPool& pool) const;
   double partByTimes(TimePoint now, const TokenPool& pool,
                      const std::vector<std::string_view>& otherZones) const;
-  const Candidate* best();
   /** @return the candidate with the lowest rank, by lot among equals. */
-  const Candidate* leastLoaded();
-  /** @return the less loaded of two that were drawn: a host without load gets no more than twice
-   * its part of the flows, however many nodes find it so at once. */
-  const Candidate* betterOfTwo();
-  /** @return one of the best tier, by lot: by weight, and fewer times where it answers late. */
-  const Candidate* drawn();
+  const Candidate* best();
   void noteEvidence(TimePoint now, const TokenPool& pool, const Candidate& chosen);
 
   bool isEvacuated(const TokenHost& host) const {
--- a/source/common/token/placement_options.h
+++ b/source/common/token/placement_options.h
@@ -18,9 +18,6 @@
 
   /** A host's weight counts times its learnt speed, and its times are judged by that speed. */
   bool learnsSpeeds = true;
-  /** Of two hosts that are drawn by weight the less loaded one gets the flow, in place of the least
-   * loaded of all. */
-  bool choosesOfTwo = false;
 
   bool operator==(const PlacementOptions&) const = default;
 };
--- a/test/common/token/flow_placement_test.cc
+++ b/test/common/token/flow_placement_test.cc
@@ -156,45 +156,6 @@
   DOUBLES_EQUAL(667, placed[3] + placed[4], 50);
 }
 
-/** Many nodes see a host that has just come in the same way: none has given it anything yet. */
-TEST(FlowPlacement, OfTwoThatAreDrawnAHostWithoutLoadGetsTwiceItsPartAtMost) {
-  options.choosesOfTwo = true;
-  setHosts(10, 0);
-  for (uint64_t number = 2; number <= 10; ++number) {
-    for (int flow = 0; flow < 20; ++flow) {
-      host(number).estimate.onOpening(now);
-    }
-  }
-  CHECK_TRUE(place(100)[1] <= 32);
-  options.choosesOfTwo = false;
-  now += seconds(60);
-  for (uint64_t number = 2; number <= 10; ++number) {
-    for (int flow = 0; flow < 60; ++flow) {
-      host(number).estimate.onOpening(now);
-    }
-  }
-  CHECK_TRUE(place(20)[1] > 15);
-}
-
-TEST(FlowPlacement, OfTwoThatAreDrawnFewAreHostsThatAnswerFarLater) {
-  options.choosesOfTwo = true;
-  setHosts(6, 0);
-  for (uint64_t number = 1; number <= 3; ++number) {
-    answer(number, 5.0, 30);
-  }
-  auto placed = place(1000);
-  CHECK_TRUE(placed[1] + placed[2] + placed[3] < 100);
-}
-
-TEST(FlowPlacement, OfTwoThatAreDrawnEachGetsFlowsByItsSpeed) {
-  options.choosesOfTwo = true;
-  setHosts(3, 0);
-  host(1).speed.learn(now, {1.8, 20});
-  host(2).speed.learn(now, {0.6, 20});
-  host(3).speed.learn(now, {0.6, 20});
-  DOUBLES_EQUAL(600, place(1000)[1], 40);
-}
-
 /** A third of a pool is released in the crest of a wave: those that are left take its flows by
  * their speeds, and a host's new life begins as a usual one. */
 TEST(FlowPlacement, AReleaseInTheCrestOfAWaveFillsHostsByTheirSpeeds) {
