Start a zone from one list of the store, passed on in parts

What grows is nodes times hosts. Whole copies were encoded for each asker, on the packets' thread, as one message of at most 1 MiB: about 11,000 hosts, so that at twice the size no follower could have been served.

Ruled out: a longer wait than 0.5 s (moves the size), and a limit on the store's side (429 costs calls and says nothing of when to come back).

Change: - The first reader of a zone lists; the other readers take its copy, the followers theirs. A peer that gets on (pages, parts) is waited for, 6 s at most in all; where none does, nodes list by rank, twice as many with each 0.5 s. A node without a roster waits until it stops expecting one. - All hosts are encoded once, in parts of 500, and shared by all that ask, for as long as the changes after their version are known. - After a list in place of watches, followers get the difference: the log keeps the gap, and passes it on. A property found two wrong versions of this (a copy older than the asker; a gap that was not passed on). - Hosts are translated once a list, not with each page. - Seeds are asked only where the store is silent or there is no roster. Tests of ReadSource that speak of a running node say so now (onHolding): what they demand is unchanged; a node that has nothing asks again after 0.5 s, which has a test of its own.

On the fleet: to be measured.

--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -144,9 +144,51 @@
 /** PeerChanges::outageEndedAgoMilliseconds where there was no outage. */
 constexpr uint32_t kNoOutage = UINT32_MAX;
 
+/** One part of all registered hosts of a reader (platform/host_copy.h). */
+struct HostCopyPart {
+  std::vector<HostEvent> hosts;
+
+  bool operator==(const HostCopyPart&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(hosts);
+  }
+};
+
+/** All registered hosts as of a version, to be fetched in parts. */
+struct HostCopyOffer {
+  uint64_t version = 0;
+  /** 0: nothing is offered. */
+  uint32_t parts = 0;
+
+  bool operator==(const HostCopyOffer&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(version, parts);
+  }
+};
+
+/** Versions of the store between which changes of hosts are known by their outcome alone, both
+ * excluded: of a host that came and went nothing is known. */
+struct VersionGap {
+  uint64_t after = 0;
+  uint64_t before = 0;
+
+  bool operator==(const VersionGap&) const = default;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(after, before);
+  }
+};
+
 /** The answer to a node that asks for the changes after a version. */
 struct PeerChanges {
-  /** Whether the peer reads the store; if not, the rest means nothing yet. */
+  /** Whether the peer reads the store; if not, the rest means nothing yet, unless it offers a copy.
+   * False beside an offer, too: a node of an earlier release would take the events for all hosts.
+   */
   bool reading = false;
   /** How long ago it was sure that it had missed nothing, milliseconds. */
   uint32_t confirmedAgoMilliseconds = 0;
@@ -156,8 +198,8 @@
   uint64_t configurationVersion = 0;
   /** Version of the store up to which its hosts are known; where the next question begins. */
   uint64_t hostsVersion = 0;
-  /** The events are all hosts that are registered, because the changes reach not far enough back.
-   */
+  /** The events are all hosts that are registered, because the changes reach not far enough back:
+   * from nodes of an earlier release, which offer no copy. */
   bool whole = false;
   std::vector<HostEvent> events;
   /** Hosts that the zone's nodes together see answering late; the others are as usual. */
@@ -170,17 +212,26 @@
   std::vector<SilentHost> silentHosts;
   /** Hosts whose speed is known; of many, a part of them. */
   std::vector<LearnedSpeed> speeds;
+  /** Where the changes reach not far enough back: all hosts, which the asker needs first; the
+   * events are those after its version. */
+  HostCopyOffer copy;
+  /** Of a peer that does not read yet: rises with each piece that it gets of what it needs. */
+  uint64_t progress = 0;
+  /** Those of the events. */
+  std::vector<VersionGap> gaps;
 
   bool operator==(const PeerChanges&) const = default;
 
+  bool offersCopy() const { return copy.parts > 0; }
+
   /** Fields at the end that nodes of an earlier release leave out. */
-  static constexpr uint32_t kOptionalFields = 1;
+  static constexpr uint32_t kOptionalFields = 4;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
     visitor(reading, confirmedAgoMilliseconds, outageEndedAgoMilliseconds, configurationVersion,
             hostsVersion, whole, events, standings, evacuationsVersion, evacuatedZones, silentHosts,
-            speeds);
+            speeds, copy, progress, gaps);
   }
 };
 
--- a/source/common/platform/host_event_log.cc
+++ b/source/common/platform/host_event_log.cc
@@ -1,6 +1,7 @@
 #include "common/platform/host_event_log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace umberhold {
@@ -11,6 +12,41 @@
     begin_ = std::max(*begin_, event.version);
   }
   events_.clear();
+  gaps_.clear();
+}
+
+void HostEventLog::onSkipped(uint64_t knownUpTo, uint64_t version) {
+  if (!reaches(knownUpTo)) {
+    beginAt(version);
+    return;
+  }
+  addGap({knownUpTo, version});
+}
+
+void HostEventLog::addGap(VersionGap gap) {
+  if (!begin_ || gap.before <= *begin_ ||
+      std::find(gaps_.begin(), gaps_.end(), gap) != gaps_.end()) {
+    return;
+  }
+  gaps_.push_back(gap);
+  if (gaps_.size() > kMostGaps) {
+    begin_ = std::max(*begin_, gaps_.front().before);
+    gaps_.pop_front();
+  }
+}
+
+std::vector<VersionGap> HostEventLog::gapsAfter(uint64_t version) const {
+  std::vector<VersionGap> later;
+  std::copy_if(gaps_.begin(), gaps_.end(), std::back_inserter(later),
+               [version](const VersionGap& gap) { return gap.before > version; });
+  return later;
+}
+
+bool HostEventLog::reaches(uint64_t version) const {
+  const auto isWithin = [version](const VersionGap& gap) {
+    return gap.after < version && version < gap.before;
+  };
+  return begin_ && version >= *begin_ && std::none_of(gaps_.begin(), gaps_.end(), isWithin);
 }
 
 void HostEventLog::add(HostEvent event) {
@@ -22,7 +58,7 @@
 }
 
 std::optional<std::vector<HostEvent>> HostEventLog::since(uint64_t version) const {
-  if (!begin_ || version < *begin_) {
+  if (!reaches(version)) {
     return std::nullopt;
   }
   std::vector<HostEvent> later;
--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -127,6 +127,16 @@
   return registered;
 }
 
+std::vector<std::string> HostPresence::registeredBeyond(const std::set<std::string>& names) const {
+  std::vector<std::string> beyond;
+  for (const auto& [name, entry] : entries_) {
+    if (!entry.removedAt && !names.contains(name)) {
+      beyond.push_back(name);
+    }
+  }
+  return beyond;
+}
+
 std::optional<TimePoint> HostPresence::nextChange() const {
   std::optional<TimePoint> next;
   const auto consider = [&next, this](TimePoint at) {
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -84,6 +84,8 @@
   std::vector<HostPool> settle(TimePoint now);
   /** @return the registrations that are there. */
   std::vector<HostRegistration> registered() const;
+  /** @return the names of registered hosts that the set lacks. */
+  std::vector<std::string> registeredBeyond(const std::set<std::string>& names) const;
   /** @return when settle() has something to do next. */
   std::optional<TimePoint> nextChange() const;
 
--- a/source/common/platform/read_source.cc
+++ b/source/common/platform/read_source.cc
@@ -40,7 +40,7 @@
   }
   hasRoster_ = true;
   readsItself_ = roster.readsItself();
-  candidates_ = roster.candidates();
+  candidates_ = readsItself_ ? roster.readersAhead() : roster.candidates();
   if (candidates_.empty()) {
     nextQuestion_ = TimePoint::max();
   } else if (!hadCandidates) {
@@ -77,10 +77,20 @@
   return now - confirmedAt_ > options_.longestUnconfirmed;
 }
 
+bool ReadSource::listsAtOnce(TimePoint now) const {
+  if (!hasRoster_) {
+    return false;
+  }
+  return candidates_.empty() || (!readsItself_ && servesOthers(now));
+}
+
 TimePoint ReadSource::nextQuestion(TimePoint now) const {
-  if (candidates_.empty()) {
+  if (candidates_.empty() || (readsItself_ && holding_)) {
     return TimePoint::max();
   }
+  if (readsItself_) {
+    return nextQuestion_;
+  }
   return servesOthers(now) ? std::max(nextQuestion_, *askedAt_ + options_.readForOthers)
                            : nextQuestion_;
 }
@@ -96,12 +106,13 @@
         return penalty == penalties_.end() || penalty->second.until <= now;
       });
   if (free == candidates_.end()) {
-    nextQuestion_ = now + options_.retry;
+    nextQuestion_ = now + (holding_ ? options_.retry : options_.startingPenalty);
     return std::nullopt;
   }
   if (asked_ != free->name) {
     asked_ = free->name;
     beginnings_ = 0;
+    progress_ = 0;
   }
   return *free;
 }
@@ -119,17 +130,26 @@
   nextQuestion_ = now + jittered(options_.poll, options_.pollJitter, random_);
 }
 
-void ReadSource::onBeginning(TimePoint now) {
-  if (++beginnings_ < options_.beginningTries) {
+bool ReadSource::onBeginning(TimePoint now, uint64_t progress) {
+  const bool hasRisen = progress != progress_;
+  progress_ = progress;
+  beginnings_ = hasRisen ? 0 : beginnings_ + 1;
+  if (beginnings_ < options_.beginningTries) {
     nextQuestion_ = now + options_.beginning;
-    return;
+    return hasRisen;
   }
   beginnings_ = 0;
   passOver(now, options_.unconfirmedPenalty);
   askNext(now);
+  return hasRisen;
 }
 
 void ReadSource::onFailure(TimePoint now) {
+  if (!holding_) {
+    passOver(now, options_.startingPenalty);
+    askNext(now);
+    return;
+  }
   Penalty& penalty = penalties_[asked_];
   const Duration time = std::max(penalty.next, options_.firstPenalty);
   penalty.next = std::min(time * 2, options_.longestPenalty);
@@ -142,7 +162,11 @@
 }
 
 void ReadSource::askNext(TimePoint now) {
-  nextQuestion_ = isUnconfirmed(now) ? now + options_.retry : now;
+  if (holding_) {
+    nextQuestion_ = isUnconfirmed(now) ? now + options_.retry : now;
+  } else {
+    nextQuestion_ = storeSilent_ ? now + options_.startingPenalty : now;
+  }
 }
 
 }  // namespace umberhold
--- a/source/common/platform/read_source.h
+++ b/source/common/platform/read_source.h
@@ -39,6 +39,8 @@
   Duration beginning = std::chrono::milliseconds(100);
   /** A peer that has not begun after so many questions is passed over. */
   uint32_t beginningTries = 8;
+  /** How long a node that has nothing yet passes a peer over: it may be starting, too. */
+  Duration startingPenalty = std::chrono::milliseconds(500);
   /** How long a peer is passed over; doubles with each failure in a row. */
   Duration firstPenalty = std::chrono::seconds(5);
   Duration longestPenalty = std::chrono::seconds(60);
@@ -81,6 +83,8 @@
    * rely on: if this is the first roster, peers are given the usual time to confirm from now on.
    */
   void setRoster(TimePoint now, const ReaderRoster& roster, bool isUpToDate = false);
+  /** The node has everything that its peers could tell: a reader asks nobody from now on. */
+  void onHolding() { holding_ = true; }
   /** Another node asked this one. */
   void onAsked(TimePoint now) { askedAt_ = now; }
 
@@ -91,8 +95,13 @@
   /** @return whether others asked of late, so that they depend on this node's reading. */
   bool servesOthers(TimePoint now) const;
 
+  /** @return when a node without a roster stops waiting for one. */
+  TimePoint decideBy() const { return decideBy_; }
+  /** @return whether the node lists the store without waiting for what a peer may tell. */
+  bool listsAtOnce(TimePoint now) const;
+
   /** @return when to ask a peer next; the end of time for never. A node that reads for others asks
-   * nobody. */
+   * nobody, a reader only readers before it while it has nothing. */
   TimePoint nextQuestion(TimePoint now) const;
   /** @return the peer to ask; nothing where all are passed over, which also puts the question off.
    */
@@ -106,8 +115,12 @@
 
   /** The peer reads, and was sure at `confirmedAt` that it had missed nothing. */
   void onConfirmed(TimePoint now, TimePoint confirmedAt);
-  /** The peer does not read yet. */
-  void onBeginning(TimePoint now);
+  /**
+   * The peer does not read yet.
+   * @param progress rises while it gets what it needs: it is asked for as long as that goes on.
+   * @return whether it has risen since this peer was last asked.
+   */
+  bool onBeginning(TimePoint now, uint64_t progress);
   /** The peer can't be asked. */
   void onFailure(TimePoint now);
 
@@ -128,11 +141,14 @@
   const TimePoint decideBy_;
   bool hasRoster_ = false;
   bool readsItself_ = false;
+  bool holding_ = false;
   std::vector<RosterNode> candidates_;
   std::unordered_map<std::string, Penalty> penalties_;
   /** The peer asked last. */
   std::string asked_;
   uint32_t beginnings_ = 0;
+  /** What the peer asked last said of its progress. */
+  uint64_t progress_ = 0;
   bool storeSilent_ = false;
   std::optional<TimePoint> askedAt_;
   /** What the node holds was confirmed then; the start counts, as a list was read, and for a node
--- a/source/common/platform/reader_roster.cc
+++ b/source/common/platform/reader_roster.cc
@@ -1,6 +1,7 @@
 #include "common/platform/reader_roster.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "common/base/hash.h"
@@ -31,6 +32,8 @@
     }
   }
   candidates_.clear();
+  readersAhead_.clear();
+  standInStep_ = 0;
   readsItself_ = ranked.size() < options_.smallestZone;
   if (readsItself_) {
     return;
@@ -41,8 +44,10 @@
   const size_t readers = (ranked.size() + options_.nodesPerReader - 1) / options_.nodesPerReader;
   readsItself_ = self < readers;
   if (readsItself_) {
+    readersAhead_.assign(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(self));
     return;
   }
+  standInStep_ = static_cast<uint32_t>(std::bit_width(self / readers)) - 1;
   const size_t first = hashBytes(self_.name) % readers;
   std::rotate(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(first),
               ranked.begin() + static_cast<std::ptrdiff_t>(readers));
--- a/source/common/platform/reader_roster.h
+++ b/source/common/platform/reader_roster.h
@@ -49,12 +49,23 @@
   bool readsItself() const { return readsItself_; }
   /** @return the nodes to ask, the reader first; empty for a reader. */
   const std::vector<RosterNode>& candidates() const { return candidates_; }
+  /** @return the readers ranked before this one, for a reader that has nothing yet: one list of the
+   * store serves all readers of a zone. */
+  const std::vector<RosterNode>& readersAhead() const { return readersAhead_; }
+  /**
+   * @return how late this node takes the readers' place where none of them tells anything: 0 for
+   * readers and as many nodes behind them, 1 for twice as many, 2 for four times as many. A zone's
+   * nodes that list the store themselves so double with each step, and never come all at once.
+   */
+  uint32_t standInStep() const { return standInStep_; }
 
  private:
   const RosterNode self_;
   const RosterOptions options_;
   bool readsItself_ = true;
   std::vector<RosterNode> candidates_;
+  std::vector<RosterNode> readersAhead_;
+  uint32_t standInStep_ = 0;
 };
 
 }  // namespace umberhold
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -98,6 +98,10 @@
           .add(static_cast<double>(store.peerFailures), {metricLabel("outcome", "failed")})
           .add(static_cast<double>(store.answeredPeers), {metricLabel("outcome", "answered")})
           .take());
+  families.push_back(
+      counterOf("umberhold_host_copies_total",
+                "How often all hosts were encoded for peers that were too far behind",
+                static_cast<double>(store.hostCopies)));
   families.push_back(gaugeOf("umberhold_reads_store",
                              "1 where this node reads the store, 0 where it follows a peer",
                              store.readsStore ? 1 : 0));
--- a/source/common/wire/codec.cc
+++ b/source/common/wire/codec.cc
@@ -163,6 +163,13 @@
   return decodeObject<PeerChanges>(bytes);
 }
 
+Result<std::string, EncodeError> encodeHostCopyPart(const HostCopyPart& part) {
+  return encodeObject(part, CompressionEffort::kFast);
+}
+Result<HostCopyPart, DecodeError> decodeHostCopyPart(std::string_view bytes) {
+  return decodeObject<HostCopyPart>(bytes);
+}
+
 Result<std::string, EncodeError> encodeHostReport(const HostReport& report) {
   return encodeStruct(report);
 }
--- a/source/common/wire/codec.h
+++ b/source/common/wire/codec.h
@@ -42,6 +42,10 @@
 Result<std::string, EncodeError> encodePeerChanges(const PeerChanges& changes);
 Result<PeerChanges, DecodeError> decodePeerChanges(std::string_view bytes);
 
+/** Encodes a part of a reader's hosts, compressed where that makes it shorter. */
+Result<std::string, EncodeError> encodeHostCopyPart(const HostCopyPart& part);
+Result<HostCopyPart, DecodeError> decodeHostCopyPart(std::string_view bytes);
+
 /** Encodes what a node tells its reader of hosts; a few bytes for each. */
 Result<std::string, EncodeError> encodeHostReport(const HostReport& report);
 Result<HostReport, DecodeError> decodeHostReport(std::string_view bytes);
--- a/test/common/platform/first_list_test.cc
+++ b/test/common/platform/first_list_test.cc
@@ -51,3 +51,27 @@
   list.onEnded();
   CHECK_TRUE(list.opensInSilence(first) == first + seconds(2));
 }
+
+/** Where no peer tells anything a zone's nodes list by turns, not together. */
+TEST(FirstList, OpensLaterForNodesThatComeAfterOthers) {
+  list.setStep(3);
+  CHECK_TRUE(list.opensAt() == start + milliseconds(2000));
+  list.setStep(1);
+  CHECK_TRUE(list.opensAt() == start + milliseconds(1000));
+  list.onStoreReturned(start + seconds(3));
+  CHECK_TRUE(list.opensAt() == start + milliseconds(4000));
+}
+
+TEST(FirstList, WaitsWhileAPeerGetsOnButNotForever) {
+  TimePoint now = start;
+  while (now < start + options.longestPatience - options.patience) {
+    now += milliseconds(400);
+    list.onPeerProgress(now);
+    CHECK_TRUE(list.opensAt() == std::min(now + options.patience, start + options.longestPatience));
+  }
+  list.onPeerProgress(start + seconds(60));
+  CHECK_TRUE(list.opensAt() == start + options.longestPatience);
+  // What an earlier peer told is not taken back by a later one.
+  list.onPeerProgress(start);
+  CHECK_TRUE(list.opensAt() == start + options.longestPatience);
+}
--- a/test/common/platform/read_source_test.cc
+++ b/test/common/platform/read_source_test.cc
@@ -22,6 +22,7 @@
 TEST_GROUP(ReadSource) {
   RandomSource random{7};
   ReadSourceOptions options;
+  RosterOptions rosterOptions;
   TimePoint now = kStart;
   ReadSource source{kStart, options, random};
 
@@ -31,7 +32,7 @@
     for (int number = 1; number <= 7; ++number) {
       all.push_back(node(number, 1000 - static_cast<uint32_t>(number)));
     }
-    ReaderRoster roster(all[static_cast<size_t>(self - 1)]);
+    ReaderRoster roster(all[static_cast<size_t>(self - 1)], rosterOptions);
     roster.setNodes(all);
     source.setRoster(now, roster, isUpToDate);
   }
@@ -135,6 +136,7 @@
 }
 
 TEST(ReadSource, AFailingPeerIsAskedEverMoreSeldom) {
+  source.onHolding();
   setRoster(5);
   Duration penalty = options.firstPenalty;
   for (int failures = 0; failures < 6; ++failures) {
@@ -153,6 +155,7 @@
 }
 
 TEST(ReadSource, WhereNobodyCanBeAskedItWaitsBetweenQuestions) {
+  source.onHolding();
   setRoster(5);
   for (int failures = 0; failures < 6; ++failures) {
     peer();
@@ -165,28 +168,90 @@
 /** All peers may be dark: each costs its time-out, and the node's own bound must not wait. */
 TEST(ReadSource, WhileTheStoreIsReadAnywayQuestionsAreSeldom) {
   setRoster(5);
+  source.onHolding();
   now += options.longestUnconfirmed + milliseconds(1);
   peer();
   source.onFailure(now);
   CHECK_TRUE(source.nextQuestion(now) == now + options.retry);
 }
 
+/** A peer that refuses may be starting, too: all machines may start at once. */
+TEST(ReadSource, ANodeThatHasNothingAsksPeersAgainSoon) {
+  setRoster(5);
+  for (int number = 1; number <= 6; ++number) {
+    CHECK_FALSE(peer() == "none");
+    source.onFailure(now);
+    CHECK_TRUE(source.nextQuestion(now) == now);
+  }
+  STRCMP_EQUAL("none", peer().c_str());
+  CHECK_TRUE(source.nextQuestion(now) == now + options.startingPenalty);
+  now += options.startingPenalty;
+  STRCMP_EQUAL("node-1", peer().c_str());
+}
+
+TEST(ReadSource, AnotherReaderAsksThoseBeforeItWhileItHasNothing) {
+  rosterOptions.nodesPerReader = 2;
+  setRoster(3);
+  checkCause(ReadCause::kReader);
+  CHECK_FALSE(source.listsAtOnce(now));
+  CHECK_TRUE(source.nextQuestion(now) == now);
+  STRCMP_EQUAL("node-1", peer().c_str());
+  source.onFailure(now);
+  STRCMP_EQUAL("node-2", peer().c_str());
+  source.onFailure(now);
+  STRCMP_EQUAL("none", peer().c_str());
+  // Others that ask it meanwhile don't keep it from asking.
+  source.onAsked(now);
+  CHECK_TRUE(source.nextQuestion(now) <= now + options.startingPenalty);
+  CHECK_FALSE(source.listsAtOnce(now));
+  source.onHolding();
+  CHECK_TRUE(source.nextQuestion(now) == TimePoint::max());
+}
+
+TEST(ReadSource, OnlyTheFirstReaderAndNodesThatAreAskedListAtOnce) {
+  CHECK_FALSE(source.listsAtOnce(now));
+  setRoster(1);
+  CHECK_TRUE(source.listsAtOnce(now));
+  setRoster(5);
+  CHECK_FALSE(source.listsAtOnce(now));
+  now += options.longestUnconfirmed + milliseconds(1);
+  CHECK_FALSE(source.listsAtOnce(now));
+  source.onAsked(now);
+  CHECK_TRUE(source.listsAtOnce(now));
+}
+
+/** Its list may take long: going on to the next reader would only make that one list, too. */
+TEST(ReadSource, APeerThatGetsOnIsWaitedFor) {
+  setRoster(5);
+  for (uint64_t progress = 1; progress <= 3 * options.beginningTries; ++progress) {
+    STRCMP_EQUAL("node-1", peer().c_str());
+    CHECK_TRUE(source.onBeginning(now, progress));
+    now += options.beginning;
+  }
+  for (uint32_t tries = 1; tries <= options.beginningTries; ++tries) {
+    STRCMP_EQUAL("node-1", peer().c_str());
+    CHECK_FALSE(source.onBeginning(now, 3 * options.beginningTries));
+  }
+  STRCMP_EQUAL("node-2", peer().c_str());
+}
+
 TEST(ReadSource, APeerThatBeginsToReadIsAskedAgainSoonButNotForever) {
   setRoster(5);
   for (uint32_t tries = 1; tries < options.beginningTries; ++tries) {
     STRCMP_EQUAL("node-1", peer().c_str());
-    source.onBeginning(now);
+    CHECK_FALSE(source.onBeginning(now, 0));
     CHECK_TRUE(source.nextQuestion(now) == now + options.beginning);
     now += options.beginning;
   }
   peer();
-  source.onBeginning(now);
+  source.onBeginning(now, 0);
   STRCMP_EQUAL("node-2", peer().c_str());
 }
 
 /** In an outage each further candidate would call the store in vain. */
 TEST(ReadSource, WhereTheStoreIsSilentOnlyTheReaderIsAsked) {
   setRoster(5);
+  source.onHolding();
   now += options.longestUnconfirmed + milliseconds(1);
   source.onStoreSilent();
   for (int failures = 0; failures < 3; ++failures) {
--- a/test/common/platform/reader_roster_test.cc
+++ b/test/common/platform/reader_roster_test.cc
@@ -1,6 +1,7 @@
 /** @file Which nodes of a zone read for the others. */
 #include "common/platform/reader_roster.h"
 
+#include <map>
 #include <set>
 
 // Last, because its macros replace operator new.
@@ -94,3 +95,33 @@
   const RosterNode self = node(1, "bole", 900);
   CHECK_TRUE(rosterOf(self, others).readsItself());
 }
+
+/** All that list the store at once are bounded by the step, whatever the size of the zone. */
+TEST(ReaderRoster, StandInsDoubleWithEachStep) {
+  const auto all = nodes(500);
+  std::map<uint32_t, size_t> byStep;
+  for (const RosterNode& self : all) {
+    const ReaderRoster roster = rosterOf(self, all);
+    byStep[roster.standInStep()] += roster.readsItself() ? 0 : 1;
+  }
+  constexpr size_t kReaders = 16;
+  LONGS_EQUAL(5, byStep.size());
+  for (uint32_t step = 0; step < 4; ++step) {
+    LONGS_EQUAL(kReaders << step, byStep[step]);
+  }
+}
+
+TEST(ReaderRoster, ReadersKnowThoseBeforeThem) {
+  const auto all = nodes(100);
+  std::set<size_t> counts;
+  for (const RosterNode& self : all) {
+    const ReaderRoster roster = rosterOf(self, all);
+    if (roster.readsItself()) {
+      CHECK_TRUE(roster.candidates().empty());
+      counts.insert(roster.readersAhead().size());
+    } else {
+      CHECK_TRUE(roster.readersAhead().empty());
+    }
+  }
+  CHECK_TRUE(counts == (std::set<size_t>{0, 1, 2, 3}));
+}
--- a/test/common/wire/codec_test.cc
+++ b/test/common/wire/codec_test.cc
@@ -132,6 +132,19 @@
   }));
 }
 
+TEST(CodecProperties, EveryPartOfACopyOfHostsSurvivesARoundTrip) {
+  CHECK(rc::check("decodeHostCopyPart(encodeHostCopyPart(part)) == part", [] {
+    HostCopyPart part;
+    RandomFiller filler;
+    part.visitFields(filler);
+    const auto bytes = encodeHostCopyPart(part);
+    RC_ASSERT(isOk(bytes));
+    const auto decoded = decodeHostCopyPart(valueOf(bytes));
+    RC_ASSERT(isOk(decoded));
+    RC_ASSERT(valueOf(decoded) == part);
+  }));
+}
+
 TEST(Codec, HostsOfNodesThatTellNoBirthAreRead) {
   PeerChanges changes;
   HostEvent event;
@@ -147,11 +160,13 @@
   CHECK_TRUE(header != std::string::npos && birth != std::string::npos);
   earlier[header] = '\x9B';
   earlier.erase(birth, 1);
-  // The answer is an array of 12, the last of them its speeds, an empty list.
-  CHECK_EQUAL('\x9C', earlier.front());
-  CHECK_EQUAL('\x90', earlier.back());
+  // The answer is an array of 15, the last of them its speeds, an empty list, and an offer of no
+  // copy, its progress and its gaps.
+  const std::string optional("\x90\x92\x00\x00\x00\x90", 6);
+  CHECK_EQUAL('\x9F', earlier.front());
+  CHECK_TRUE(earlier.substr(earlier.size() - optional.size()) == optional);
   earlier.front() = '\x9B';
-  earlier.pop_back();
+  earlier.erase(earlier.size() - optional.size());
   const auto decoded = decodePeerChanges(earlier);
   CHECK_TRUE(isOk(decoded));
   CHECK_TRUE(valueOf(decoded) == changes);
--- a/test/fuzz/message_fuzzer.cc
+++ b/test/fuzz/message_fuzzer.cc
@@ -45,6 +45,7 @@
   checkStable(bytes, decodePolicy, encodePolicy);
   checkStable(bytes, decodeRegionContacts, encodeRegionContacts);
   checkStable(bytes, decodePeerChanges, encodePeerChanges);
+  checkStable(bytes, decodeHostCopyPart, encodeHostCopyPart);
   checkStable(bytes, decodeHostReport, encodeHostReport);
 }
 
--- a/test/platform/store/store_copy_property.cc
+++ b/test/platform/store/store_copy_property.cc
@@ -112,6 +112,9 @@
 struct Copy {
   StoreCopy copy{"addis", HostPresenceOptions{}};
   uint64_t version = 0;
+  /** All hosts as of an earlier version of its own, for nodes that are too far behind. */
+  std::vector<HostEvent> offered;
+  uint64_t offeredVersion = 0;
 
   void readLaggingList(TimePoint now, const History& history, uint64_t revision) {
     for (StoreObject& object : history.list(revision)) {
@@ -126,7 +129,7 @@
       names.insert(object.name);
       copy.apply(now, std::move(object));
     }
-    copy.onHostList(now, history.revision(), names);
+    copy.onHostList(now, version, history.revision(), names);
     version = history.revision();
   }
   void watch(TimePoint now, const History& history) {
@@ -135,11 +138,24 @@
     }
     version = history.revision();
   }
-  void ask(TimePoint now, const Copy& peer) {
+  /** An offer serves for as long as the changes after it are known, and those who know less. */
+  void prepareOffer(uint64_t since) {
+    if (!copy.reaches(offeredVersion) || offeredVersion < since) {
+      offered = copy.registeredHosts();
+      offeredVersion = version;
+    }
+  }
+  void ask(TimePoint now, Copy& peer) {
     PeerChanges changes;
     changes.hostsVersion = peer.version;
-    peer.copy.describeChanges(now, version, changes);
-    copy.apply(now, changes);
+    uint64_t since = version;
+    if (!peer.copy.reaches(version)) {
+      peer.prepareOffer(version);
+      since = peer.offeredVersion;
+      copy.applyWhole(now, version, since, peer.offered);
+    }
+    peer.copy.describeChanges(now, since, changes);
+    copy.apply(now, version, changes);
     version = std::max(version, peer.version);
   }
   /** @return whether it holds what the store had at its version, or something newer. */
@@ -190,7 +206,7 @@
     } else if (choice < 0.6) {
       copy.readList(now, history);
     } else {
-      const Copy& peer = copies[random.below(kCopies)];
+      Copy& peer = copies[random.below(kCopies)];
       if (&peer != &copy) {
         copy.ask(now, peer);
       }
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -25,6 +25,11 @@
 constexpr uint32_t kFewestNodes = 6;
 /** The bound within which a change must be effective; the nodes' periods are parts of it. */
 constexpr Duration kBound = milliseconds(1500);
+/** Objects of a page of the store's list. */
+constexpr size_t kPageSize = 100;
+/** Of the zones that start at once. */
+constexpr size_t kNodesPerReaderOfStart = 4;
+constexpr size_t kReadersOfStart = 4;
 
 std::string configuration(uint64_t version) {
   return R"({"version":)" + std::to_string(version) +
@@ -33,7 +38,9 @@
 }
 
 std::string hostEntry(uint32_t index, const std::string& state = "ready") {
-  return R"({"service":"s-one","address":"10.0.0.)" + std::to_string(index) +
+  constexpr uint32_t kHostsOfNetwork = 250;
+  return R"({"service":"s-one","address":"10.0.)" + std::to_string(index / kHostsOfNetwork) + "." +
+         std::to_string(index % kHostsOfNetwork) +
          R"(:80","zone":"bole","version":"v1","slots":2,"state":")" + state +
          R"(","cold_remaining_ms":0,"sequence":1})";
 }
@@ -45,23 +52,35 @@
 /** A node without packets: its copy of the store, and the port at which peers ask it. */
 class Node {
  public:
-  Node(uint32_t number, const Endpoint& store, bool followsEvacuations = false)
+  Node(uint32_t number, const Endpoint& store, bool followsEvacuations = false,
+       size_t nodesPerReader = RosterOptions{}.nodesPerReader)
       : followsEvacuations_(followsEvacuations),
+        nodesPerReader_(nodesPerReader),
         observations_("node-" + std::to_string(number)),
         port_(valueOf(PollHttpPort::open(
             kAnyPort, loop_, [this](const std::string& path) { return answer(path); }))) {
-    adapter_ = std::make_unique<ObjectStoreAdapter>(optionsOf(number, store));
+    options_ = optionsOf(number, store);
     loop_.watch(mailbox_.wakeDescriptor(), [this] { mailbox_.drain(); });
-    thread_ = std::thread([this] { loop_.run(); });
   }
   ~Node() {
     silent_ = false;
     mailbox_.post([this] { loop_.stop(); });
-    thread_.join();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
   }
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
+  void begin() {
+    adapter_ = std::make_unique<ObjectStoreAdapter>(options_);
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  /** @return its entry in the list of the zone's nodes. */
+  std::string entry() const {
+    return R"({"zone":"bole","peer_address":")" + toString(port_->local()) + R"(","capacity":)" +
+           std::to_string(options_.self->capacity) + "}";
+  }
   /** Peers that ask get no answer; their connections stay. */
   void fallSilent() { silent_ = true; }
   bool readsStore() const { return adapter_->status().readsStore; }
@@ -72,6 +91,8 @@
   /** Pages of lists of the store, those of nodes not counted. */
   uint64_t lists() const { return adapter_->status().lists; }
   uint64_t answeredPeers() const { return adapter_->status().answeredPeers; }
+  /** How often it encoded all hosts for others. */
+  uint64_t hostCopies() const { return adapter_->status().hostCopies; }
 
   EvacuatedZones evacuated() {
     const auto all = adapter_->list();
@@ -128,6 +149,7 @@
     options.source.readForOthers = seconds(1);
     options.registry = {milliseconds(100), seconds(1), milliseconds(200), milliseconds(50)};
     options.settleTime = milliseconds(300);
+    options.roster.nodesPerReader = nodesPerReader_;
     options.liveness.first = milliseconds(100);
     options.liveness.interval = part(10);
     options.liveness.servingInterval = part(5);
@@ -146,10 +168,12 @@
   }
 
   const bool followsEvacuations_;
+  const size_t nodesPerReader_;
   ObservationExchange observations_;
   PollLoop loop_;
   LoopMailbox mailbox_;
   std::unique_ptr<PollHttpPort> port_;
+  ObjectStoreOptions options_;
   std::unique_ptr<ObjectStoreAdapter> adapter_;
   std::atomic<bool> silent_{false};
   std::thread thread_;
@@ -158,9 +182,9 @@
 }  // namespace
 
 TEST_GROUP_BASE(ZoneReader, test::WithoutLeakDetection) {
-  test::StandinStore store{500};
+  test::StandinStore store{kPageSize};
   /** What the reader alone is cut off from, where a test says so. */
-  test::StandinStore readersStore{500};
+  test::StandinStore readersStore{kPageSize};
   std::vector<std::unique_ptr<Node>> nodes;
   bool followsEvacuations = false;
 
@@ -175,6 +199,7 @@
   void startAll(uint32_t count = kNodes) {
     for (uint32_t number = 1; number <= count; ++number) {
       nodes.push_back(std::make_unique<Node>(number, store.address(), followsEvacuations));
+      nodes.back()->begin();
     }
     // Every node has entered itself, knows of the others, and has been answered by the reader.
     CHECK_TRUE(soon([&] { return store.calls().others == count; }));
@@ -203,6 +228,15 @@
     }
     return condition();
   }
+  /** Makes nodes that are in the zone's list already, as after a loss of power. */
+  void registerNodes(uint32_t count) {
+    for (uint32_t number = 1; number <= count; ++number) {
+      nodes.push_back(
+          std::make_unique<Node>(number, store.address(), false, kNodesPerReaderOfStart));
+      store.objects().set("balancers-bole", "node-" + std::to_string(number),
+                          nodes.back()->entry());
+    }
+  }
   bool allSee(size_t hosts) {
     return soon([&] {
       bool all = true;
@@ -293,8 +327,10 @@
 /** The reader answers, but what it holds grows old. */
 TEST(ZoneReader, AReaderThatIsCutOffFromTheStoreIsNotRelied) {
   nodes.push_back(std::make_unique<Node>(1, readersStore.address()));
+  nodes.back()->begin();
   for (uint32_t number = 2; number <= kNodes; ++number) {
     nodes.push_back(std::make_unique<Node>(number, store.address()));
+    nodes.back()->begin();
     readersStore.objects().set("balancers-bole", "node-" + std::to_string(number),
                                R"({"zone":"bole","peer_address":"127.0.0.1:9","capacity":1})");
   }
@@ -364,6 +400,7 @@
   store.objects().remove("servers", hostName(2), 0);
   CHECK_TRUE(allSee(2));
   nodes.push_back(std::make_unique<Node>(kNodes + 1, store.address()));
+  nodes.back()->begin();
   CHECK_TRUE(allSee(2));
   CHECK_TRUE(soon([this] { return !nodes.back()->readsStore(); }));
   store.objects().set("servers", hostName(9), hostEntry(9));
@@ -376,15 +413,62 @@
   drain(1);
   CHECK_TRUE(allSee(3));
   nodes.push_back(std::make_unique<Node>(kNodes + 1, store.address()));
+  nodes.back()->begin();
   CHECK_TRUE(allSee(3));
   LONGS_EQUAL(0, nodes.back()->lists());
   LONGS_EQUAL(3, nodes.back()->configurationVersion());
 }
 
+/** The list takes longer than a node waits for a reader that tells nothing: 30 pages of 30 ms. */
+TEST(ZoneReader, AllThatStartAtOnceTakeOneListOfTheStore) {
+  constexpr uint32_t kStarting = 16;
+  constexpr uint32_t kHosts = 3000;
+  constexpr size_t kPages = kHosts / kPageSize;
+  registerNodes(kStarting);
+  for (uint32_t index = 5; index <= kHosts; ++index) {
+    store.objects().set("servers", hostName(index), hostEntry(index));
+  }
+  test::StandinFaults slow;
+  slow.slow = milliseconds(30);
+  store.setFaults(slow);
+  for (const auto& node : nodes) {
+    node->begin();
+  }
+  CHECK_TRUE(allSee(kHosts));
+  uint64_t pages = 0;
+  uint64_t copies = 0;
+  for (const auto& node : nodes) {
+    pages += node->lists();
+    copies += node->hostCopies();
+  }
+  // The configuration is a page, too. Four nodes read, and pass on what one of them listed: each
+  // of them encodes it once.
+  LONGS_EQUAL(kPages + 1, pages);
+  CHECK_TRUE(copies <= kReadersOfStart);
+}
+
+/** Readers that are dark give nothing: some of the others list, not all of them. */
+TEST(ZoneReader, WhereNoReaderTellsAnythingFewNodesList) {
+  constexpr uint32_t kStarting = 16;
+  registerNodes(kStarting);
+  nodes.erase(nodes.begin(), nodes.begin() + kReadersOfStart);
+  for (const auto& node : nodes) {
+    node->begin();
+  }
+  CHECK_TRUE(allSee(4));
+  size_t listing = 0;
+  for (const auto& node : nodes) {
+    listing += node->lists() > 0 ? 1 : 0;
+  }
+  CHECK_TRUE(listing >= 1);
+  CHECK_TRUE(listing <= 2 * kReadersOfStart);
+}
+
 TEST(ZoneReader, ANodeWhoseReaderIsGoneListsTheStoreItself) {
   startAll();
   nodes.erase(nodes.begin(), nodes.end() - 1);
   nodes.push_back(std::make_unique<Node>(kNodes + 1, store.address()));
+  nodes.back()->begin();
   CHECK_TRUE(allSee(4));
 }
 
@@ -398,6 +482,7 @@
   CHECK_TRUE(allKnow(both, kBound));
   // A node that starts knows them before it is ready.
   nodes.push_back(std::make_unique<Node>(kFewestNodes + 1, store.address(), true));
+  nodes.back()->begin();
   CHECK_TRUE(soon([&] { return nodes.back()->activeHosts() == 4; }));
   CHECK_TRUE(nodes.back()->evacuated() == both);
   store.objects().remove("evacuations", "bole", 0);
@@ -439,6 +524,7 @@
 TEST(ZoneReader, ASmallZoneHasNoReader) {
   for (uint32_t number = 1; number <= 5; ++number) {
     nodes.push_back(std::make_unique<Node>(number, store.address()));
+    nodes.back()->begin();
   }
   std::this_thread::sleep_for(seconds(1));
   CHECK_EQUAL(5U, readers());
@@ -455,6 +541,7 @@
   LONGS_EQUAL(kNodes, calls);
   nodes.pop_back();
   nodes.push_back(std::make_unique<Node>(kNodes, store.address()));
+  nodes.back()->begin();
   // Its port is another: the list shows the old entry, which is refused as new and then replaced.
   CHECK_TRUE(soon([&] { return store.calls().others == calls + 2; }));
   CHECK_TRUE(allSee(4));
