Give nodes that start in an outage the shared copy, not lists of their own

Cause: seeds answered whole lists in the store's form, made at each question on the packets' thread: 2.5 MB of JSON for 10,000 hosts. A rolling restart of 45% (49 at a time) during an outage would ask each of three seeds for 16 such lists every 1.3 s, from machines of 0.12 core and 20 Mbit/s: by arithmetic 40 MB where the link takes 3.3 MB in that time.

Ruled out: more seeds (the settings name three), a longer time-out.

Change: a node that holds something offers the copy in parts that readers offer their followers, confirmed or not; it is encoded once, off the packets' thread, and asked for again after 50 ms until it is made. The lists in the store's form are gone: a node of an earlier release that starts in an outage beside newer seeds waits for the store. The test of the adapter with a stand-in for a seed asks a real node now, and checks besides that nothing is listed; the other one reads the offer.

--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -72,6 +72,9 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
+  Endpoint peerAddress() const { return port_->local(); }
+  /** Nodes that it asks while the store is silent. */
+  void setSeeds(std::vector<Endpoint> seeds) { options_.peers = std::move(seeds); }
   void begin() {
     adapter_ = std::make_unique<ObjectStoreAdapter>(options_);
     thread_ = std::thread([this] { loop_.run(); });
@@ -472,6 +475,24 @@
   CHECK_TRUE(allSee(4));
 }
 
+/** One seed refuses, the other holds what it had before the outage. */
+TEST(ZoneReader, InAnOutageANodeTakesWhatASeedHoldsAndDropsWhatTheStoreThenLacks) {
+  startAll(kFewestNodes);
+  test::StandinFaults silent;
+  silent.mood = test::StoreMood::kSilent;
+  store.setFaults(silent);
+  store.objects().remove("servers", hostName(4), 0);
+  nodes.push_back(std::make_unique<Node>(kFewestNodes + 1, store.address()));
+  constexpr Endpoint kRefusing{0x7F000001, 9};
+  nodes.back()->setSeeds({kRefusing, nodes.front()->peerAddress()});
+  nodes.back()->begin();
+  CHECK_TRUE(soon([this] { return nodes.back()->activeHosts() == 4; }));
+  LONGS_EQUAL(3, nodes.back()->configurationVersion());
+  LONGS_EQUAL(0, nodes.back()->lists());
+  store.setFaults({});
+  CHECK_TRUE(allSee(3));
+}
+
 TEST(ZoneReader, EveryNodeHearsOfEvacuationsAndOfTheirEnds) {
   followsEvacuations = true;
   // More connections would outgrow POCO's pool of buffers, which leak detection does not bear.
