--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -1,8 +1,5 @@
 /** @file The adapter against the stand-in of the users' store, with the faults of that store. */
 #include "platform/store/object_store_adapter.h"
-#include "platform/store/peer_question.h"
-#include "platform/store/store_messages.h"
-
 
 #include <memory>
 #include <optional>
@@ -12,6 +9,8 @@
 #include "common/platform/steady_now.h"
 #include "common/wire/codec.h"
 #include "common/wire/payload_compression.h"
+#include "platform/store/peer_question.h"
+#include "platform/store/store_messages.h"
 #include "test/platform/store/standin_store.h"
 #include "test/support/without_leak_detection.h"
 
