--- a/bench/host_state_benchmark.cc
+++ b/bench/host_state_benchmark.cc
@@ -1,6 +1,6 @@
 /**
- * @file What a node's state of hosts costs: one change of one host, and a start from a reader's copy,
- * at the sizes of a deployment, of twice that, and of the whole system.
+ * @file What a node's state of hosts costs: one change of one host, and a start from a reader's
+ * copy, at the sizes of a deployment, of twice that, and of the whole system.
  */
 #include <benchmark/benchmark.h>
 
