Ask seeds with each probe, and wake for none that isn't needed any more

Since seeds give the shared copy, a seed that prepares it is asked again after 50 ms. That instant stayed set where the store returned meanwhile, so that the monitor would have woken without a pause from then on. Where no seed prepared anything, every turn of the monitor counted as due, and not only those with a probe.

--- /dev/null
+++ b/test/common/platform/seed_questions_test.cc
@@ -0,0 +1,44 @@
+/** @file Which seed a node asks that starts while the store is silent, and when. */
+#include "common/platform/seed_questions.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace umberhold;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(SeedQuestions) {
+  const TimePoint start{seconds(100)};
+  const TimePoint nextProbe{start + milliseconds(400)};
+  SeedQuestions questions;
+};
+
+TEST(SeedQuestions, OneIsAskedWithEachProbe) {
+  CHECK_FALSE(questions.isDue(start, nextProbe));
+  CHECK_TRUE(questions.isDue(nextProbe, nextProbe));
+  CHECK_FALSE(questions.nextQuestion(true).has_value());
+}
+
+TEST(SeedQuestions, ASeedThatPreparesIsAskedAgainSoon) {
+  questions.onPreparing(start);
+  const TimePoint prepared = start + SeedQuestions::kPreparation;
+  CHECK_FALSE(questions.isDue(start, nextProbe));
+  CHECK_TRUE(questions.isDue(prepared, nextProbe));
+  CHECK_TRUE(questions.nextQuestion(true) == prepared);
+  LONGS_EQUAL(0, questions.seed());
+}
+
+/** Its caller would else wake again and again for a question that is never asked. */
+TEST(SeedQuestions, WhereNoAnswerIsNeededAnyMoreNoQuestionIsDue) {
+  questions.onPreparing(start);
+  CHECK_FALSE(questions.nextQuestion(false).has_value());
+  questions.onAnswered();
+  CHECK_FALSE(questions.nextQuestion(true).has_value());
+}
+
+TEST(SeedQuestions, AfterAFailureTheNextSeedIsAskedWithTheNextProbe) {
+  questions.onPreparing(start);
+  questions.onFailed();
+  LONGS_EQUAL(1, questions.seed());
+  CHECK_FALSE(questions.isDue(start + SeedQuestions::kPreparation, nextProbe));
+}
