Tell by which signs a node takes a host for dead, and what waited for a processor in a soak

Change: the judgement moves from token_director.cc into token/silence_judge (decisions as before), which notes each verdict with callers, copies and times; lines host_dead and host_spared, metric umberhold_silent_hosts_total. The soak writes waits.tsv: by the time of day of the nodes' logs, how long each node (schedstat of its first thread) and the soak itself stood still, and what was broken. No check or bound changes.

--- a/bench/support/process_group.cc
+++ b/bench/support/process_group.cc
@@ -168,4 +168,20 @@
                       statusMegabytes(process, "RssFile"), descriptorsOf(process)};
 }
 
+std::optional<std::chrono::nanoseconds> ProcessGroup::waitedForProcessor(
+    const std::string& name) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(name);
+  if (found == entries_.end() || !found->second->running()) {
+    return std::nullopt;
+  }
+  std::ifstream file("/proc/" + std::to_string(found->second->handle.id()) + "/schedstat");
+  std::chrono::nanoseconds::rep ran = 0;
+  std::chrono::nanoseconds::rep waited = 0;
+  if (!(file >> ran >> waited)) {
+    return std::nullopt;
+  }
+  return std::chrono::nanoseconds(waited);
+}
+
 }  // namespace umberhold::experiment
--- a/bench/support/process_group.h
+++ b/bench/support/process_group.h
@@ -2,6 +2,7 @@
  */
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -44,6 +45,9 @@
   void kill(const std::string& name);
   /** @return nothing where it has ended, or does not execute its program yet. */
   std::optional<ProcessUsage> usage(const std::string& name) const;
+  /** @return for how long its first thread was ready to run and got no processor since its start;
+   * nothing where that is not known. */
+  std::optional<std::chrono::nanoseconds> waitedForProcessor(const std::string& name) const;
 
  private:
   struct Entry;
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -16,6 +16,7 @@
 #include "common/server/loop_mailbox.h"
 #include "common/server/poll_http_port.h"
 #include "common/server/poll_loop.h"
+#include "common/server/silence_text.h"
 #include "common/server/token_node_metrics.h"
 #include "common/token/token_director.h"
 
@@ -112,6 +113,7 @@
     exchangeObservations();
     sendResets();
     logPaces();
+    logSilence();
     flushLog();
   }
 
@@ -177,6 +179,14 @@
     }
   }
 
+  void logSilence() {
+    for (const SilenceVerdict& verdict : director.takeSilenceVerdicts()) {
+      if (flowLog.admit(steadyNow(), LineKind::kBelief)) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO) << SilenceText{verdict};
+      }
+    }
+  }
+
   void flushLog() {
     if (hooks.log == nullptr) {
       return;
@@ -342,6 +352,7 @@
         director.coldHostCount(steadyNow()),
         director.admission(),
         director.speeds(steadyNow()),
+        director.silenceCounters(),
         path.counters(),
         port->counters(),
         flowLog.counters(),
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -21,6 +21,18 @@
   return family;
 }
 
+MetricFamily silenceFamily(const SilenceCounters& counters) {
+  MetricFamilyBuilder family = counterFamily(
+      "umberhold_silent_hosts_total", "Verdicts on silent hosts, by outcome and by whose callers");
+  forEachValue<SilenceOutcome>([&](SilenceOutcome outcome, size_t row) {
+    forEachValue<SilenceSource>([&](SilenceSource source, size_t column) {
+      family.add(static_cast<double>(counters[row][column]),
+                 {metricLabel("outcome", toString(outcome)), metricLabel("by", toString(source))});
+    });
+  });
+  return family.take();
+}
+
 void addFlows(const FlowLogCounters& flows, Families& families) {
   MetricFamilyBuilder opened =
       counterFamily("umberhold_opened_flows_total", "New flows that got a host");
@@ -184,6 +196,7 @@
                                      "Time from a datagram's reading to the end of its handling",
                                      metrics.packetTimes));
   addFlows(metrics.flows, families);
+  families.push_back(silenceFamily(metrics.silence));
   addAdmissionFamilies(metrics.now, metrics.admission, families);
   addStore(metrics, families);
   families.push_back(histogramFamily("umberhold_change_seconds",
--- a/source/common/server/token_node_metrics.h
+++ b/source/common/server/token_node_metrics.h
@@ -31,6 +31,7 @@
   size_t coldHosts = 0;
   const Admission& admission;
   SpeedSummary speeds;
+  const SilenceCounters& silence;
   const PacketCounters& packets;
   const UdpCounters& port;
   const FlowLogCounters& flows;
--- a/source/common/token/silence_evidence.h
+++ b/source/common/token/silence_evidence.h
@@ -62,6 +62,7 @@
   }
 
   size_t callers() const { return callers_.size(); }
+  uint32_t copies() const { return copies_; }
   const std::optional<TimePoint>& answeredAt() const { return answeredAt_; }
   HostSigns signs(uint32_t token) const {
     return {token, answeredAt_, copies_, callers_, since_, lastCopyAt_};
--- /dev/null
+++ b/source/common/token/silence_judge.cc
@@ -0,0 +1,112 @@
+#include "common/token/silence_judge.h"
+
+namespace umberhold {
+namespace {
+
+/** Callers of this node alone whose data a host leaves unacknowledged, without a sign of life
+ * since, before it counts as dead. Where nodes share what they see, two nodes are needed and three
+ * copies: see ZoneSilence. */
+constexpr size_t kCallersOfDeadHost = 3;
+/** How long a host counts as dead by one piece of news. */
+constexpr Duration kDeadTime = std::chrono::seconds(3);
+/** Of a pool's hosts no more than this part counts as dead by silence: where more seem so, it is
+ * this node, or its zone, that is cut off. */
+constexpr double kMostDeadPart = 0.5;
+/** Verdicts that are kept for the log; nobody takes them where there is none. */
+constexpr size_t kMostVerdicts = 256;
+
+}  // namespace
+
+std::string_view toString(SilenceSource source) {
+  return source == SilenceSource::kNode ? "node" : "zone";
+}
+
+std::string_view toString(SilenceOutcome outcome) {
+  return outcome == SilenceOutcome::kDead ? "dead" : "spared";
+}
+
+std::set<uint32_t> SilenceJudge::onCopy(TimePoint now, const TokenHost& host) {
+  if (host.silence.callers() < kCallersOfDeadHost) {
+    return {};
+  }
+  return judge(now, {host.token}, SilenceSource::kNode);
+}
+
+std::set<uint32_t> SilenceJudge::onZoneSilent(TimePoint now,
+                                              const std::vector<SilentHost>& silentHosts) {
+  std::set<uint32_t> silent;
+  for (const SilentHost& told : silentHosts) {
+    const TokenHost* host = hosts_.find(told.token);
+    const TimePoint since = now - std::chrono::milliseconds(told.silentMilliseconds);
+    if (host != nullptr && host->livedAt(since) &&
+        host->silence.answeredAt().value_or(TimePoint{}) < since) {
+      silent.insert(told.token);
+    }
+  }
+  return judge(now, silent, SilenceSource::kZone);
+}
+
+std::set<uint32_t> SilenceJudge::judge(TimePoint now, const std::set<uint32_t>& tokens,
+                                       SilenceSource source) {
+  std::set<uint32_t> dead;
+  for (const uint32_t token : tokens) {
+    TokenHost* host = hosts_.find(token);
+    const TokenPool* pool = host == nullptr ? nullptr : hosts_.findPool(host->pool);
+    if (pool == nullptr) {
+      continue;
+    }
+    if (!leavesEnough(now, *pool, tokens)) {
+      note(now, *host, *pool, SilenceOutcome::kSpared, source);
+      continue;
+    }
+    note(now, *host, *pool, SilenceOutcome::kDead, source);
+    host->estimate.onReportedSilent(now);
+    host->deadUntil = now + kDeadTime;
+    dead.insert(token);
+  }
+  return dead;
+}
+
+bool SilenceJudge::leavesEnough(TimePoint now, const TokenPool& pool,
+                                const std::set<uint32_t>& tokens) const {
+  size_t active = 0;
+  size_t dead = 0;
+  for (const TokenHost* host : pool.hosts) {
+    if (host->isActive()) {
+      ++active;
+      dead += host->isDead(now) || tokens.contains(host->token) ? 1 : 0;
+    }
+  }
+  return static_cast<double>(dead) <= kMostDeadPart * static_cast<double>(active);
+}
+
+void SilenceJudge::note(TimePoint now, const TokenHost& host, const TokenPool& pool,
+                        SilenceOutcome outcome, SilenceSource source) {
+  std::erase_if(standing_, [now](const auto& entry) { return now >= entry.second.until; });
+  const auto known = standing_.find(host.token);
+  const bool stands = known != standing_.end() && known->second.outcome == outcome;
+  standing_[host.token] = {outcome, now + kDeadTime};
+  if (stands) {
+    return;
+  }
+  ++counters_[static_cast<size_t>(outcome)][static_cast<size_t>(source)];
+  if (verdicts_.size() >= kMostVerdicts) {
+    return;
+  }
+  const HostSigns signs = host.silence.signs(host.token);
+  SilenceVerdict& verdict = verdicts_.emplace_back();
+  verdict = {outcome, source, host.pool, host.spec.name, signs.callers.size(), signs.copies};
+  if (signs.copies > 0) {
+    verdict.silentFor = now - signs.since;
+    verdict.sinceCopy = now - signs.lastCopyAt;
+  }
+  if (signs.answeredAt) {
+    verdict.sinceAnswer = now - *signs.answeredAt;
+  }
+  for (const TokenHost* each : pool.hosts) {
+    verdict.active += each->isActive() ? 1 : 0;
+    verdict.silent += each->isActive() && each->silence.copies() > 0 ? 1 : 0;
+  }
+}
+
+}  // namespace umberhold
--- /dev/null
+++ b/source/common/token/silence_judge.h
@@ -0,0 +1,108 @@
+/**
+ * @file Which silent hosts a node takes for dead, and by which signs.
+ *
+ * Flows of a dead host are reset (dead_host_flows.h), so a wrong verdict breaks flows that live.
+ * Decision logic without I/O.
+ */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "common/base/time.h"
+#include "common/messages/peer_messages.h"
+#include "common/token/token_hosts.h"
+
+namespace umberhold {
+
+/** Whose callers a host is silent to. */
+enum class SilenceSource : uint8_t {
+  /** Those of this node. */
+  kNode,
+  /** Those of several nodes of the zone; see ZoneSilence. */
+  kZone,
+  kCount,
+};
+
+/** @return the snake_case name of a source. */
+std::string_view toString(SilenceSource source);
+
+/** What became of a silent host. */
+enum class SilenceOutcome : uint8_t {
+  /** It counts as dead for a while, unless it answers. */
+  kDead,
+  /** Too many hosts of its pool are silent with it: rather the path to them is broken. */
+  kSpared,
+  kCount,
+};
+
+/** @return the snake_case name of an outcome. */
+std::string_view toString(SilenceOutcome outcome);
+
+/** One verdict with its signs, as this node sees them; for logs. */
+struct SilenceVerdict {
+  SilenceOutcome outcome = SilenceOutcome::kDead;
+  SilenceSource source = SilenceSource::kNode;
+  std::string pool;
+  std::string host;
+  /** Of this node's callers, at most SilenceEvidence::kMostCallers, and copies of their data. */
+  size_t callers = 0;
+  uint32_t copies = 0;
+  /** Since the first data that the host left unacknowledged was sent. */
+  Duration silentFor{0};
+  /** Since the last copy; nothing where this node saw none. */
+  std::optional<Duration> sinceCopy;
+  /** Since its last sign of life; nothing where there was none. */
+  std::optional<Duration> sinceAnswer;
+  /** Active hosts of the pool, and those of them that leave data unacknowledged now. */
+  size_t active = 0;
+  size_t silent = 0;
+};
+
+/** Verdicts by SilenceOutcome and SilenceSource. */
+using SilenceCounters = std::array<std::array<uint64_t, static_cast<size_t>(SilenceSource::kCount)>,
+                                   static_cast<size_t>(SilenceOutcome::kCount)>;
+
+/** Not thread safe. */
+class SilenceJudge {
+ public:
+  /** @param hosts borrowed. */
+  explicit SilenceJudge(TokenHosts& hosts) : hosts_(hosts) {}
+
+  /** A host left a copy unacknowledged. @return its token where it counts as dead. */
+  std::set<uint32_t> onCopy(TimePoint now, const TokenHost& host);
+  /** Hosts are silent to all nodes of the zone. @return the tokens of those that count as dead. */
+  std::set<uint32_t> onZoneSilent(TimePoint now, const std::vector<SilentHost>& silentHosts);
+
+  /** @return verdicts since the last call, each host's once for as long as it stands. */
+  std::vector<SilenceVerdict> takeVerdicts() { return std::exchange(verdicts_, {}); }
+  const SilenceCounters& counters() const { return counters_; }
+
+ private:
+  std::set<uint32_t> judge(TimePoint now, const std::set<uint32_t>& tokens, SilenceSource source);
+  /** @return whether at most half of the pool's hosts would be dead with these. */
+  bool leavesEnough(TimePoint now, const TokenPool& pool, const std::set<uint32_t>& tokens) const;
+  void note(TimePoint now, const TokenHost& host, const TokenPool& pool, SilenceOutcome outcome,
+            SilenceSource source);
+
+  struct Standing {
+    SilenceOutcome outcome = SilenceOutcome::kDead;
+    TimePoint until{};
+  };
+
+  TokenHosts& hosts_;
+  /** By flow token: the verdicts that were noted and are not over yet. */
+  std::unordered_map<uint32_t, Standing> standing_;
+  std::vector<SilenceVerdict> verdicts_;
+  SilenceCounters counters_{};
+};
+
+}  // namespace umberhold
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -18,15 +18,6 @@
 /** Speeds name a host by its token alone, and the zone's measures of an earlier life outlast it: 24
  * nodes with 6 samples each, halving every 8 s, fade within 37 s (by arithmetic). */
 constexpr Duration kSpeedsOfEarlierLife = std::chrono::seconds(40);
-/** Callers of this node alone whose data a host leaves unacknowledged, without a sign of life
- * since, before it counts as dead. Where nodes share what they see, two nodes are needed and three
- * copies: see ZoneSilence. */
-constexpr size_t kCallersOfDeadHost = 3;
-/** How long a host counts as dead by one piece of news. */
-constexpr Duration kDeadTime = std::chrono::seconds(3);
-/** Of a pool's hosts no more than this part counts as dead by silence: where more seem so, it is
- * this node, or its zone, that is cut off. */
-constexpr double kMostDeadPart = 0.5;
 /** Samples that are kept for others; nobody takes them where the node tells nobody. */
 constexpr size_t kMostSamples = 1024;
 /** A request that waits so many times longer than usual counts as the worst sample. */
@@ -475,9 +466,7 @@
   noteUnanswered(now, host);
   host.silence.onCopy(now, progress.firstAt, packet.key.caller.address);
   noteSign(host);
-  if (host.silence.callers() >= kCallersOfDeadHost) {
-    noteDead(now, {host.token});
-  }
+  resetFlowsOf(now, silenceJudge_.onCopy(now, host));
   return progress.copies >= kCopiesOfSilentHost && host.estimate.isDeadSince(progress.firstAt) &&
          isRepeatable(packet.service);
 }
@@ -506,47 +495,11 @@
 }
 
 void TokenDirector::learnSilent(TimePoint now, const std::vector<SilentHost>& silentHosts) {
-  std::set<uint32_t> dead;
-  for (const SilentHost& silent : silentHosts) {
-    const TokenHost* host = hosts_.find(silent.token);
-    const TimePoint since = now - std::chrono::milliseconds(silent.silentMilliseconds);
-    if (host != nullptr && host->livedAt(since) &&
-        host->silence.answeredAt().value_or(TimePoint{}) < since) {
-      dead.insert(silent.token);
-    }
-  }
-  noteDead(now, dead);
-}
-
-void TokenDirector::noteDead(TimePoint now, const std::set<uint32_t>& tokens) {
-  std::set<uint32_t> dead;
-  for (const uint32_t token : tokens) {
-    TokenHost* host = hosts_.find(token);
-    if (host == nullptr || !leavesEnough(now, host->pool, tokens)) {
-      continue;
-    }
-    host->estimate.onReportedSilent(now);
-    host->deadUntil = now + kDeadTime;
-    dead.insert(token);
-  }
-  deadHostFlows_.onSilent(now, dead, [this](ServiceId service) { return isRepeatable(service); });
+  resetFlowsOf(now, silenceJudge_.onZoneSilent(now, silentHosts));
 }
 
-bool TokenDirector::leavesEnough(TimePoint now, const std::string& pool,
-                                 const std::set<uint32_t>& tokens) const {
-  const TokenPool* entry = hosts_.findPool(pool);
-  if (entry == nullptr) {
-    return false;
-  }
-  size_t active = 0;
-  size_t dead = 0;
-  for (const TokenHost* host : entry->hosts) {
-    if (host->isActive()) {
-      ++active;
-      dead += host->isDead(now) || tokens.contains(host->token) ? 1 : 0;
-    }
-  }
-  return static_cast<double>(dead) <= kMostDeadPart * static_cast<double>(active);
+void TokenDirector::resetFlowsOf(TimePoint now, const std::set<uint32_t>& tokens) {
+  deadHostFlows_.onSilent(now, tokens, [this](ServiceId service) { return isRepeatable(service); });
 }
 
 uint32_t TokenDirector::noteRepeat(TimePoint now, const FlowPacket& packet) {
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -33,6 +33,7 @@
 #include "common/token/opening_watch.h"
 #include "common/token/request_timer.h"
 #include "common/token/response_score.h"
+#include "common/token/silence_judge.h"
 #include "common/token/token_hosts.h"
 
 namespace umberhold {
@@ -138,6 +139,9 @@
   std::vector<SpeedChange> takeSpeedChanges() { return std::exchange(speedChanges_, {}); }
   /** Hosts are silent to all nodes of the zone. */
   void learnSilent(TimePoint now, const std::vector<SilentHost>& silentHosts);
+  /** @return which hosts were taken for dead, or nearly so, since the last call. */
+  std::vector<SilenceVerdict> takeSilenceVerdicts() { return silenceJudge_.takeVerdicts(); }
+  const SilenceCounters& silenceCounters() const { return silenceJudge_.counters(); }
   /** @return what hosts acknowledged or not, of those where that changed since the last call. */
   std::vector<HostSigns> takeSigns();
 
@@ -231,10 +235,8 @@
   /** @return whether requests of the pool hardly wait for slots; false where slots aren't known. */
   bool hasFreeSlots(TimePoint now, const TokenPool& pool) const;
   void noteSign(TokenHost& host);
-  /** Takes hosts for dead, unless too many of their pools would be. @param tokens theirs. */
-  void noteDead(TimePoint now, const std::set<uint32_t>& tokens);
-  /** @return whether at most half of the pool's hosts would be dead with these. */
-  bool leavesEnough(TimePoint now, const std::string& pool, const std::set<uint32_t>& tokens) const;
+  /** @param tokens of hosts that count as dead. */
+  void resetFlowsOf(TimePoint now, const std::set<uint32_t>& tokens);
   bool isRepeatable(ServiceId service) const;
   /** The host left a caller without an answer, or gave one. */
   void noteUnanswered(TimePoint now, TokenHost& host);
@@ -269,6 +271,7 @@
   std::vector<std::string> arrived_;
   FlowProgress progress_;
   RequestTimer timer_;
+  SilenceJudge silenceJudge_{hosts_};
   DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
   std::vector<SpeedChange> speedChanges_;
--- /dev/null
+++ b/test/common/token/silence_judge_test.cc
@@ -0,0 +1,90 @@
+/** @file Which silent hosts count as dead, and what is told of it. */
+#include "common/token/silence_judge.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace umberhold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kHosts = 4;
+
+}  // namespace
+
+TEST_GROUP(SilenceJudge) {
+  TokenHosts hosts{seconds(60)};
+  SilenceJudge judge{hosts};
+  TimePoint now{seconds(1000)};
+
+  void setup() override {
+    HostPool pool{"dispatch", {}};
+    for (uint32_t number = 1; number <= kHosts; ++number) {
+      HostSpec host;
+      host.name = "h-" + std::to_string(number);
+      host.endpoint = {0x0A800000 + number, 8080};
+      host.zone = "bole";
+      host.incarnation = number;
+      pool.hosts.push_back(host);
+    }
+    hosts.setPool(now, pool, 1);
+  }
+  TokenHost& host(uint64_t number) { return *hosts.find(flowTokenOf(number)); }
+  /** Three callers' data goes unacknowledged for so long; each sends one copy at the end. */
+  void fallSilent(uint64_t number, milliseconds length) {
+    const TimePoint sentAt = now;
+    now += length;
+    for (uint32_t caller = 1; caller <= 3; ++caller) {
+      host(number).silence.onCopy(now, sentAt, caller);
+    }
+  }
+};
+
+TEST(SilenceJudge, TellsOnceWhyAHostCountsAsDead) {
+  host(1).silence.onAnswered(now);
+  now += milliseconds(100);
+  fallSilent(1, milliseconds(700));
+  LONGS_EQUAL(1, judge.onCopy(now, host(1)).size());
+  LONGS_EQUAL(1, judge.onCopy(now + milliseconds(10), host(1)).size());
+  const auto verdicts = judge.takeVerdicts();
+  LONGS_EQUAL(1, verdicts.size());
+  const SilenceVerdict& verdict = verdicts[0];
+  CHECK_TRUE(verdict.outcome == SilenceOutcome::kDead);
+  CHECK_TRUE(verdict.source == SilenceSource::kNode);
+  STRCMP_EQUAL("h-1", verdict.host.c_str());
+  LONGS_EQUAL(3, verdict.callers);
+  LONGS_EQUAL(3, verdict.copies);
+  CHECK_TRUE(verdict.silentFor == milliseconds(700));
+  CHECK_TRUE(verdict.sinceCopy == milliseconds(0));
+  CHECK_TRUE(verdict.sinceAnswer == milliseconds(800));
+  LONGS_EQUAL(4, verdict.active);
+  LONGS_EQUAL(1, verdict.silent);
+  LONGS_EQUAL(1, judge.counters()[0][0]);
+}
+
+TEST(SilenceJudge, TellsOfHostsThatAreSparedSinceTooManyAreSilent) {
+  now += seconds(1);
+  std::vector<SilentHost> silent;
+  for (uint64_t number = 1; number <= 3; ++number) {
+    silent.push_back({flowTokenOf(number), 700});
+  }
+  CHECK_TRUE(judge.onZoneSilent(now, silent).empty());
+  const auto verdicts = judge.takeVerdicts();
+  LONGS_EQUAL(3, verdicts.size());
+  CHECK_TRUE(verdicts[0].outcome == SilenceOutcome::kSpared);
+  CHECK_TRUE(verdicts[0].source == SilenceSource::kZone);
+  CHECK_FALSE(verdicts[0].sinceAnswer.has_value());
+}
+
+TEST(SilenceJudge, FewerCallersProveNothing) {
+  const TimePoint sentAt = now;
+  now += seconds(1);
+  host(1).silence.onCopy(now, sentAt, 1);
+  host(1).silence.onCopy(now, sentAt, 2);
+  CHECK_TRUE(judge.onCopy(now, host(1)).empty());
+}
+
+}  // namespace umberhold
--- a/test/soak/world/node_processes.cc
+++ b/test/soak/world/node_processes.cc
@@ -95,6 +95,14 @@
   }
 }
 
+void NodeProcesses::measureWaits(TimePoint now, WaitWatch& waits) const {
+  for (const NodePlan& node : plan_.nodes()) {
+    if (const auto waited = processes_.waitedForProcessor(node.name)) {
+      waits.onTotal(now, node.name, std::chrono::duration_cast<Duration>(*waited));
+    }
+  }
+}
+
 void NodeProcesses::endAll() {
   for (const NodePlan& node : plan_.nodes()) {
     processes_.signal(node.name, SIGCONT);
--- a/test/soak/world/node_processes.h
+++ b/test/soak/world/node_processes.h
@@ -13,6 +13,7 @@
 #include "standins/proxy/tcp_front.h"
 #include "test/soak/world/deployment_plan.h"
 #include "test/soak/world/node_evidence.h"
+#include "test/soak/world/wait_watch.h"
 
 namespace umberhold::soak {
 
@@ -38,6 +39,8 @@
   std::vector<size_t> restartEnded(TimePoint now);
   /** Notes what each node uses. */
   void measure();
+  /** Notes how long each node waited for a processor. */
+  void measureWaits(TimePoint now, WaitWatch& waits) const;
   const std::vector<NodePeak>& peaks() const { return peaks_; }
   std::string logFile(size_t node) const;
   /** @return a node that reads the store for its zone. */
--- a/test/soak/world/promises.h
+++ b/test/soak/world/promises.h
@@ -53,6 +53,7 @@
   void broken(TimePoint now, Promise promise, const std::string& detail);
   uint64_t count(Promise promise) const { return counts_[static_cast<size_t>(promise)]; }
   uint64_t total() const;
+  TimePoint start() const { return start_; }
   const std::vector<Violation>& first() const { return first_; }
 
  private:
--- a/test/soak/world/soak_report.cc
+++ b/test/soak/world/soak_report.cc
@@ -1,11 +1,14 @@
 /** @file The report of a soak: one line of JSON, and a page of figures. */
+#include <Poco/DateTimeFormatter.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
+#include <Poco/Timestamp.h>
 
 #include <fstream>
 #include <iomanip>
 #include <sstream>
 
+#include "common/platform/steady_now.h"
 #include "test/soak/world/soak_run.h"
 
 namespace umberhold::soak {
@@ -30,6 +33,25 @@
   return list;
 }
 
+/** @return the time of day, UTC, as in the nodes' logs. */
+std::string timeOfDay(TimePoint at) {
+  const Poco::Timestamp::TimeDiff ago =
+      std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - at).count();
+  return Poco::DateTimeFormatter::format(Poco::Timestamp() - ago, "%H:%M:%S.%i");
+}
+
+void writeWaits(const std::string& folder, const SoakResult& result) {
+  std::ofstream file(folder + "/waits.tsv");
+  for (const Wait& wait : result.waits) {
+    file << timeOfDay(wait.at) << "\t" << wait.who << "\t"
+         << std::chrono::duration_cast<std::chrono::milliseconds>(wait.length).count() << "\n";
+  }
+  for (const Violation& violation : result.violations) {
+    file << timeOfDay(result.begunAt + violation.at) << "\t" << toString(violation.promise) << "\t"
+         << violation.detail << "\n";
+  }
+}
+
 }  // namespace
 
 std::string toJsonLine(const SoakOptions& options, const SoakResult& result) {
@@ -78,6 +100,7 @@
     faults << std::chrono::duration<double>(fault.at).count() << "\t" << toString(fault.kind)
            << "\n";
   }
+  writeWaits(folder, result);
 }
 
 std::string toText(const SoakOptions& options, const SoakResult& result) {
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -14,6 +14,7 @@
 constexpr auto kStep = std::chrono::milliseconds(10);
 constexpr Duration kStartPatience = std::chrono::seconds(30);
 constexpr Duration kMeasureInterval = std::chrono::seconds(1);
+constexpr Duration kWaitInterval = std::chrono::milliseconds(50);
 /** At the end, for requests that began before. */
 constexpr Duration kWindDown = std::chrono::seconds(3);
 /** Requests that are judged after the recovery time. */
@@ -71,12 +72,17 @@
 
   void playUntil(const std::function<bool(TimePoint)>& isDone) {
     TimePoint nextMeasure = steadyNow();
+    TimePoint nextWaits = nextMeasure;
     for (TimePoint now = steadyNow(); !isDone(now); now = steadyNow()) {
       faults_.play(now);
       if (now >= nextMeasure) {
         nodes_.measure();
         nextMeasure = now + kMeasureInterval;
       }
+      if (now >= nextWaits) {
+        nodes_.measureWaits(now, nodeWaits_);
+        nextWaits = now + kWaitInterval;
+      }
       std::this_thread::sleep_for(kStep);
     }
   }
@@ -113,6 +119,10 @@
     result.seconds = world_.seconds();
     result.longestStarved = world_.load().longestStarved();
     result.longestPause = world_.longestPause();
+    result.waits = nodeWaits_.waits();
+    const std::vector<Wait>& own = world_.pauses().waits();
+    result.waits.insert(result.waits.end(), own.begin(), own.end());
+    result.begunAt = world_.promises().start();
     result.mostOpenFlows = world_.mostOpenFlows();
     result.returnsJudged = world_.load().returnsJudged();
     judgeRecovery(start, faultsOver, end, result);
@@ -178,6 +188,7 @@
   NodeProcesses nodes_;
   FaultPlayer faults_;
   std::vector<Fault> planned_;
+  WaitWatch nodeWaits_;
 };
 
 }  // namespace
--- a/test/soak/world/soak_run.h
+++ b/test/soak/world/soak_run.h
@@ -55,6 +55,10 @@
   size_t mostOpenFlows = 0;
   /** The longest time for which callers and hosts stood still. */
   Duration longestPause{0};
+  /** Of nodes and of the soak. */
+  std::vector<Wait> waits;
+  /** What the times of violations are counted from. */
+  TimePoint begunAt{};
   std::map<FaultKind, uint64_t> faults;
   std::vector<Fault> planned;
   std::map<int64_t, SecondCounts> seconds;
@@ -68,7 +72,9 @@
 
 /** @return one line of JSON. */
 std::string toJsonLine(const SoakOptions& options, const SoakResult& result);
-/** Writes served.tsv and faults.tsv into the folder, for test/soak/served.gp. */
+/** Writes served.tsv and faults.tsv into the folder, for test/soak/served.gp, and waits.tsv: by the
+ * time of day, as in the nodes' logs, what stood still for how many milliseconds, and what was
+ * broken. */
 void writePlotData(const std::string& folder, const SoakResult& result);
 /** @return the figures for people. */
 std::string toText(const SoakOptions& options, const SoakResult& result);
--- a/test/soak/world/soak_world.cc
+++ b/test/soak/world/soak_world.cc
@@ -223,6 +223,7 @@
   const TimePoint now = steadyNow();
   if (traffic_ && lastTick_) {
     longestPause_ = std::max(longestPause_, now - *lastTick_);
+    pauses_.onWait(now, "soak", now - *lastTick_);
   }
   lastTick_ = now;
   delays_.deliverDue();
--- a/test/soak/world/soak_world.h
+++ b/test/soak/world/soak_world.h
@@ -26,6 +26,7 @@
 #include "test/soak/world/route_book.h"
 #include "test/soak/world/sabotage.h"
 #include "test/soak/world/soak_caller.h"
+#include "test/soak/world/wait_watch.h"
 
 namespace umberhold::soak {
 
@@ -76,6 +77,8 @@
   /** @return the longest time for which callers and hosts stood still, all at once: the machine was
    * too busy for the soak. */
   Duration longestPause() const { return longestPause_; }
+  /** Times for which callers and hosts stood still. */
+  const WaitWatch& pauses() const { return pauses_; }
   uint64_t runs() const { return runs_.runs(); }
   /** By seconds since startTraffic(). */
   const std::map<int64_t, SecondCounts>& seconds() const { return seconds_; }
@@ -145,6 +148,7 @@
   size_t mostOpenFlows_ = 0;
   std::optional<TimePoint> lastTick_;
   Duration longestPause_{0};
+  WaitWatch pauses_;
   TimePoint trafficSince_{};
   std::map<int64_t, SecondCounts> seconds_;
   /** Flows that sabotage leads elsewhere. */
