Take a silent host for dead only after half a second in which another host answered what was sent later

What callers saw: flows of hosts that live got resets (host_silent), at rest and with a request under way.

Cause: three callers of one node with one copy each, without a sign of life since, made a host dead. Callers send again after 200 ms, so that one pause of a host, or one round trip of more than 200 ms, makes all that wait send a copy at once: three copies were one observation. Nodes that share asked for two nodes and three copies, which one pause brings as well; and a reader aged a report after it had come, so that silence grew that nobody had seen.

Change: no silence below 500 ms counts (callers send their second copy after 600 ms); a zone's report proves silence only up to its own time; and a silence counts only as far as another host answered data or openings that were sent 500 ms later (the order of packets, as in RACK, RFC 8985), where any other answered within 2 s. The same for the third copy of a flow whose requests may run twice (flow_refused host_silent). Tried before and replaced: a least silence of twice the time after which two living hosts answered late (10 s window): it learns too late where round trips grow within a second.

What it costs where hosts do die is measured next.

--- a/source/common/health/zone_silence.cc
+++ b/source/common/health/zone_silence.cc
@@ -71,16 +71,22 @@
 }
 
 std::optional<TimePoint> ZoneSilence::silentSince(const Host& host) {
+  const auto counts = [&host](const Report& report) {
+    return report.since > host.answeredAt + kReportDelay;
+  };
+  TimePoint since = TimePoint::max();
+  for (const auto& [reporter, report] : host.reports) {
+    since = counts(report) ? std::min(since, report.since) : since;
+  }
   size_t reporters = 0;
   uint32_t copies = 0;
   std::set<uint32_t> callers;
-  TimePoint since = TimePoint::max();
   for (const auto& [reporter, report] : host.reports) {
-    if (report.since > host.answeredAt + kReportDelay) {
+    // A report tells nothing of what came after it: the host may have answered by then.
+    if (counts(report) && report.at - since >= kLeastSilence) {
       ++reporters;
       copies += report.copies;
       callers.insert(report.callers.begin(), report.callers.end());
-      since = std::min(since, report.since);
     }
   }
   const bool isSilent =
--- a/source/common/health/zone_silence.h
+++ b/source/common/health/zone_silence.h
@@ -45,8 +45,8 @@
   void merge(TimePoint now, uint64_t reporter, const std::vector<HostSign>& signs);
   /**
    * @return the hosts that left data of several callers unacknowledged at two nodes or more, and
-   * that gave no node a sign of life since the first of it was sent: one node that is cut off or
-   * wrong silences no host.
+   * that gave no node a sign of life from when the first of it was sent until kLeastSilence later
+   * or more: one node that is cut off or wrong silences no host.
    */
   std::vector<SilentHost> silentHosts(TimePoint now);
 
--- a/source/common/server/silence_text.h
+++ b/source/common/server/silence_text.h
@@ -31,6 +31,7 @@
              << " host=" << verdict.host << " by=" << toString(verdict.source)
              << " callers=" << verdict.callers << " copies=" << verdict.copies
              << " silent_ms=" << MillisecondsText{verdict.silentFor}
+             << " others_ms=" << MillisecondsText{verdict.sinceOvertaking}
              << " copy_ms=" << MillisecondsText{verdict.sinceCopy}
              << " answered_ms=" << MillisecondsText{verdict.sinceAnswer}
              << " silent_hosts=" << verdict.silent << " active_hosts=" << verdict.active;
--- a/source/common/token/flow_progress.cc
+++ b/source/common/token/flow_progress.cc
@@ -17,7 +17,7 @@
   const uint32_t copies = packet.dataBytes > 0 ? 1 : 0;
   entry = {packet.hash, packet.token, packet.sequence, packet.acknowledged, copies,
            now,         now,          caughtUp_};
-  return {copies, now, false};
+  return {copies, now, false, std::nullopt};
 }
 
 PacketProgress FlowProgress::note(TimePoint now, const FlowPacket& packet) {
@@ -26,27 +26,30 @@
     return begin(now, packet, entry);
   }
   if (isAfter(packet.acknowledged, entry.acknowledged)) {
+    const std::optional<TimePoint> sentAt =
+        entry.copies > 0 ? std::optional(entry.firstAt) : std::nullopt;
     PacketProgress progress = begin(now, packet, entry);
     progress.answered = true;
+    progress.answeredSentAt = sentAt;
     return progress;
   }
   if (packet.dataBytes == 0) {
-    return {0, entry.firstAt, false};
+    return {0, entry.firstAt, false, std::nullopt};
   }
   if (entry.copies == 0 ||
       (packet.sequence != entry.sequence && now - entry.lastAt >= kShortestRepeat)) {
     return begin(now, packet, entry);
   }
   if (packet.sequence != entry.sequence) {
-    return {1, entry.firstAt, false};
+    return {1, entry.firstAt, false, std::nullopt};
   }
   if (now - entry.lastAt >= kShortestRepeat && entry.caughtUp != caughtUp_) {
     ++entry.copies;
     entry.lastAt = now;
     entry.caughtUp = caughtUp_;
-    return {entry.copies, entry.firstAt, false};
+    return {entry.copies, entry.firstAt, false, std::nullopt};
   }
-  return {1, entry.firstAt, false};
+  return {1, entry.firstAt, false, std::nullopt};
 }
 
 }  // namespace umberhold
--- a/source/common/token/flow_progress.h
+++ b/source/common/token/flow_progress.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "common/base/time.h"
 #include "common/flow/flow_director.h"
@@ -23,6 +24,8 @@
   TimePoint firstAt{};
   /** The caller acknowledged something that it had not acknowledged before. */
   bool answered = false;
+  /** When the data that was answered passed for the first time; nothing where none was known. */
+  std::optional<TimePoint> answeredSentAt;
 };
 
 /**
--- a/source/common/token/silence_evidence.h
+++ b/source/common/token/silence_evidence.h
@@ -18,6 +18,11 @@
 
 namespace umberhold {
 
+/** A host that is silent for less is not dead, whoever says so: callers send again after 200 ms, so
+ * that one pause of a host, or one slow round trip, brings a copy of each that waits. They do so
+ * once more after 600 ms. */
+constexpr Duration kLeastSilence = std::chrono::milliseconds(500);
+
 /** What a node saw of one host's acknowledgements. */
 struct HostSigns {
   /** Flow token of the host. */
@@ -61,6 +66,8 @@
     callers_.clear();
   }
 
+  /** @return for how long data has been unacknowledged without a sign of life; 0 where none is. */
+  Duration silentFor(TimePoint now) const { return copies_ == 0 ? Duration{0} : now - since_; }
   size_t callers() const { return callers_.size(); }
   uint32_t copies() const { return copies_; }
   const std::optional<TimePoint>& answeredAt() const { return answeredAt_; }
--- a/source/common/token/silence_judge.h
+++ b/source/common/token/silence_judge.h
@@ -62,6 +62,8 @@
   std::optional<Duration> sinceCopy;
   /** Since its last sign of life; nothing where there was none. */
   std::optional<Duration> sinceAnswer;
+  /** Since what another host answered last was sent; nothing where none is known. */
+  std::optional<Duration> sinceOvertaking;
   /** Active hosts of the pool, and those of them that leave data unacknowledged now. */
   size_t active = 0;
   size_t silent = 0;
@@ -77,6 +79,17 @@
   /** @param hosts borrowed. */
   explicit SilenceJudge(TokenHosts& hosts) : hosts_(hosts) {}
 
+  /** A host answered. @param sentAt when what it answered was sent first. */
+  void onAnswered(TimePoint now, uint32_t token, TimePoint sentAt);
+  /**
+   * Packets to hosts that live are answered in the order in which they were sent, but for small
+   * differences; so where the node, the path or all hosts are slow, a copy alone proves nothing.
+   * The idea is that of RACK in TCP (RFC 8985).
+   * @param since when the first data was sent that the host left unacknowledged.
+   * @return whether another host answered what was sent kLeastSilence later. True where none
+   * answered anything of late: there is nothing to compare with.
+   */
+  bool isOvertaken(TimePoint now, uint32_t token, TimePoint since) const;
   /** A host left a copy unacknowledged. @return its token where it counts as dead. */
   std::set<uint32_t> onCopy(TimePoint now, const TokenHost& host);
   /** Hosts are silent to all nodes of the zone. @return the tokens of those that count as dead. */
@@ -93,12 +106,26 @@
   void note(TimePoint now, const TokenHost& host, const TokenPool& pool, SilenceOutcome outcome,
             SilenceSource source);
 
+  struct LatestAnswer {
+    /** 0: none is known. */
+    uint32_t token = 0;
+    /** The latest that it answered was sent then. */
+    TimePoint sentAt{};
+    /** When its last answer came. */
+    TimePoint at{};
+  };
+  /** @return the latest answer of another host; nullptr where none came of late. */
+  const LatestAnswer* answerBeside(TimePoint now, uint32_t token) const;
+
   struct Standing {
     SilenceOutcome outcome = SilenceOutcome::kDead;
     TimePoint until{};
   };
 
   TokenHosts& hosts_;
+  /** The host that answered last, and the last one beside it. */
+  LatestAnswer latest_;
+  LatestAnswer other_;
   /** By flow token: the verdicts that were noted and are not over yet. */
   std::unordered_map<uint32_t, Standing> standing_;
   std::vector<SilenceVerdict> verdicts_;
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -329,6 +329,9 @@
 
 void TokenDirector::noteRoundTrip(TimePoint now, const FlowPacket& packet) {
   const auto roundTrip = openings_.sinceOpening(now, packet.hash, packet.token);
+  if (roundTrip) {
+    silenceJudge_.onAnswered(now, packet.token, now - *roundTrip);
+  }
   const auto service = roundTrip ? services_.find(packet.service) : services_.end();
   if (service != services_.end()) {
     service->second.workTimes.onOpened(now, *roundTrip);
@@ -460,6 +463,9 @@
   if (progress.answered) {
     noteAnswered(now, host);
   }
+  if (progress.answeredSentAt) {
+    silenceJudge_.onAnswered(now, host.token, *progress.answeredSentAt);
+  }
   if (progress.copies < 2) {
     return false;
   }
@@ -468,6 +474,7 @@
   noteSign(host);
   resetFlowsOf(now, silenceJudge_.onCopy(now, host));
   return progress.copies >= kCopiesOfSilentHost && host.estimate.isDeadSince(progress.firstAt) &&
+         silenceJudge_.isOvertaken(now, host.token, progress.firstAt) &&
          isRepeatable(packet.service);
 }
 
--- a/test/common/health/zone_silence_test.cc
+++ b/test/common/health/zone_silence_test.cc
@@ -58,6 +58,22 @@
   CHECK_TRUE(zone.silentHosts(now).empty());
 }
 
+/** Guards against resets of living flows: callers of all nodes send again in one pause of a host.
+ */
+TEST(ZoneSilence, AShortSilenceNamesNobodyHoweverManyFindIt) {
+  for (uint64_t reporter = 1; reporter <= 5; ++reporter) {
+    reportSilence(reporter, 10 + static_cast<uint32_t>(reporter), 2, 499);
+  }
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  now += milliseconds(300);
+  // The reports tell nothing of the time after them.
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  reportSilence(1, 11, 2, 799);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  reportSilence(2, 12, 2, 799);
+  LONGS_EQUAL(1, zone.silentHosts(now).size());
+}
+
 TEST(ZoneSilence, AnAnswerToAnyNodeShowsThatTheHostLives) {
   reportSilence(1, 11, 2, 600);
   reportSilence(2, 12, 2, 500);
--- a/test/common/token/flow_progress_test.cc
+++ b/test/common/token/flow_progress_test.cc
@@ -86,6 +86,16 @@
   LONGS_EQUAL(2, progress.note(now, packet(10, 1, 100)).copies);
 }
 
+TEST(FlowProgress, TellsWhenDataThatIsAnsweredWasSentFirst) {
+  const TimePoint first = now;
+  note(10, 1);
+  now += milliseconds(200);
+  note(10, 1);
+  now += milliseconds(150);
+  CHECK_TRUE(note(110, 700, 0).answeredSentAt == first);
+  CHECK_FALSE(note(110, 1400, 0).answeredSentAt.has_value());
+}
+
 TEST(FlowProgress, AnotherHostOfTheFlowBeginsAnew) {
   note(10, 1);
   now += milliseconds(200);
