Let the store's stand-in give up calls that nobody waits for any more

Cause, as far as shown: a call that gets no answer in a silence that lasts (staysSilent), or whose answer is to be lost, held one of the stand-in's 160 threads until the stand-in ended, also after its caller had closed. Once all are held, the store answers nobody.

Evidence: the new test gives 200 calls up during such a silence and asks once after it: no answer before this change, 200 since.

Change: such a call is looked at each 100 ms and dropped when its caller has closed. The soak reports the longest queue for a thread of the stand-in (store_queue_most), so that the next such run tells.

Conclusion: a fault of the soak, no product code changes.

--- a/source/standins/platform/http_answers.cc
+++ b/source/standins/platform/http_answers.cc
@@ -5,6 +5,7 @@
 #include <Poco/NumberParser.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
+#include <sys/socket.h>
 
 #include "common/platform/store_json.h"
 
@@ -22,6 +23,18 @@
   sendJson(response, status, encodeError(code, message));
 }
 
+bool isGivenUp(Poco::Net::HTTPServerRequest& request) {
+  Poco::Net::StreamSocket& socket =
+      dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  try {
+    char next = 0;
+    return socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ) &&
+           socket.receiveBytes(&next, 1, MSG_PEEK) == 0;
+  } catch (const Poco::Exception&) {
+    return true;  // The connection was reset.
+  }
+}
+
 void dropConnection(Poco::Net::HTTPServerRequest& request) {
   auto& implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
   implementation.detachSocket().close();
--- a/test/platform/store/standin_store.cc
+++ b/test/platform/store/standin_store.cc
@@ -29,10 +29,13 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 using standins::dropConnection;
+using standins::isGivenUp;
 using standins::queryNumber;
 using standins::queryText;
 
 constexpr int kThreads = 160;
+/** How often a call that gets no answer is looked at. */
+constexpr auto kGivenUpInterval = std::chrono::milliseconds(100);
 
 std::string quoted(const std::string& text) {
   return "\"" + text + "\"";
@@ -123,12 +126,20 @@
     }
   }
 
-  /** Ends the connection without an answer: after the silence, or never while the store runs. */
+  /** Ends the connection without an answer: after the silence, or when its caller gives up. */
   void stayUnanswered(std::unique_lock<std::mutex>& lock, HTTPServerRequest& request) {
     const bool forever = faults.staysSilent;
-    moved.wait(lock, [this, forever] {
-      return stopping || (!forever && faults.mood != StoreMood::kSilent);
-    });
+    dropWhen(lock, request,
+             [this, forever] { return !forever && faults.mood != StoreMood::kSilent; });
+  }
+
+  /** Ends the connection once it is time, or its caller has given up: a call that nobody waits for
+   * must not hold one of the store's threads. */
+  void dropWhen(std::unique_lock<std::mutex>& lock, HTTPServerRequest& request,
+                const std::function<bool()>& isTime) {
+    const auto isOver = [&] { return stopping || isTime(); };
+    while (!moved.wait_for(lock, kGivenUpInterval, isOver) && !isGivenUp(request)) {
+    }
     dropConnection(request);
   }
 
@@ -230,8 +241,7 @@
     const StandinAnswer answer = run(request.getMethod(), target, object);
     if (take(&StandinFaults::loseAnswers)) {
       std::unique_lock lock(mutex);
-      moved.wait(lock, [this] { return stopping; });
-      dropConnection(request);
+      dropWhen(lock, request, [] { return false; });
       return;
     }
     if (const auto* done = std::get_if<StandinObject>(&answer)) {
@@ -360,6 +370,7 @@
   const std::lock_guard lock(parts_->mutex);
   StandinCalls calls = parts_->calls;
   calls.connections = static_cast<uint64_t>(parts_->server->totalConnections());
+  calls.queued = static_cast<uint64_t>(parts_->server->queuedConnections());
   return calls;
 }
 
--- a/test/platform/store/standin_store.h
+++ b/test/platform/store/standin_store.h
@@ -47,6 +47,8 @@
   uint64_t reads = 0;
   uint64_t others = 0;
   uint64_t connections = 0;
+  /** Calls that wait for a thread, now. */
+  uint64_t queued = 0;
 };
 
 /** Serves from construction to destruction. */
--- a/test/platform/store/standin_store_test.cc
+++ b/test/platform/store/standin_store_test.cc
@@ -83,6 +83,25 @@
   STRCMP_EQUAL("3", store.objects().get("locks", "leader", false)->spec.c_str());
 }
 
+/** Guards against a store that is silent without a fault: calls that nobody waits for any more held
+ * its threads. */
+TEST(StandinStore, AnswersAgainAfterASilenceHoweverManyCallsWereGivenUp) {
+  store.objects().set("config", "main", "7");
+  test::StandinFaults silent;
+  silent.mood = test::StoreMood::kSilent;
+  silent.staysSilent = true;
+  store.setFaults(silent);
+  constexpr int kCalls = 200;
+  CallLimits limits;
+  limits.answer = milliseconds(10);
+  for (int index = 0; index < kCalls; ++index) {
+    HttpConnection connection(store.address(), limits);
+    connection.call({"GET", "/api/objects/config/main", "", Duration{0}});
+  }
+  store.setFaults({});
+  LONGS_EQUAL(200, status("GET", "config/main"));
+}
+
 TEST(StandinStore, AnswersAWatchThatIsOlderThanItsHistoryWithGone) {
   store.objects().set("config", "main", "1");
   store.objects().set("config", "main", "2");
--- a/test/soak/world/soak_report.cc
+++ b/test/soak/world/soak_report.cc
@@ -70,6 +70,7 @@
   object.set("starved_seconds_most", std::chrono::duration<double>(result.longestStarved).count());
   object.set("open_flows_most", result.mostOpenFlows);
   object.set("pause_seconds_most", std::chrono::duration<double>(result.longestPause).count());
+  object.set("store_queue_most", result.storeQueueMost);
   object.set("returns_judged", result.returnsJudged);
   object.set("memory_mb_most", result.highest.memoryMegabytes);
   object.set("descriptors_most", result.highest.descriptors);
@@ -121,6 +122,7 @@
   writeFigure(text, "open flows of a host at most", result.mostOpenFlows);
   writeFigure(text, "longest pause of the soak itself, s",
               std::chrono::duration<double>(result.longestPause).count());
+  writeFigure(text, "queue of the store's stand-in at most", result.storeQueueMost);
   writeFigure(text, "returns of room judged", result.returnsJudged);
   writeFigure(text, "runs at hosts", result.runs);
   writeFigure(text, "probes of the configuration", result.probes);
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -77,6 +77,7 @@
       faults_.play(now);
       if (now >= nextMeasure) {
         nodes_.measure();
+        storeQueueMost_ = std::max(storeQueueMost_, store_.calls().queued);
         nextMeasure = now + kMeasureInterval;
       }
       if (now >= nextWaits) {
@@ -119,6 +120,7 @@
     result.seconds = world_.seconds();
     result.longestStarved = world_.load().longestStarved();
     result.longestPause = world_.longestPause();
+    result.storeQueueMost = storeQueueMost_;
     result.waits = nodeWaits_.waits();
     const std::vector<Wait>& own = world_.pauses().waits();
     result.waits.insert(result.waits.end(), own.begin(), own.end());
@@ -189,6 +191,7 @@
   FaultPlayer faults_;
   std::vector<Fault> planned_;
   WaitWatch nodeWaits_;
+  uint64_t storeQueueMost_ = 0;
 };
 
 }  // namespace
--- a/test/soak/world/soak_run.h
+++ b/test/soak/world/soak_run.h
@@ -55,6 +55,8 @@
   size_t mostOpenFlows = 0;
   /** The longest time for which callers and hosts stood still. */
   Duration longestPause{0};
+  /** Calls that waited for a thread of the store's stand-in at one time. */
+  uint64_t storeQueueMost = 0;
   /** Of nodes and of the soak. */
   std::vector<Wait> waits;
   /** What the times of violations are counted from. */
