Count the grace of hosts that vanish together from their end, not from when a node hears of it

What callers saw: openings reached hosts 3.3 s and more after their entries were gone (3 s are allowed).

Cause: hosts that vanish as a third of their pool or more stay in use for 2 s, and each node counted these from its own news. A follower's news is up to a poll old (0.6 s), more where an answer is lost or a configuration is fetched between.

Change: StoreCopy keeps when the reader's last answer was asked for; an end that the next answer tells came later, so the grace counts from there. Nodes that read themselves count from now, as before.

Figures: two tests that give late news by the old rule have hosts in use for 2 s from the news on; with the change until 2 s after the last answer that had them.

Conclusion: the sum of two allowed delays is no longer longer than the bound.

--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -57,7 +57,8 @@
   return true;
 }
 
-bool HostPresence::onRemoved(TimePoint now, const std::string& host, uint64_t version) {
+bool HostPresence::onRemoved(TimePoint now, const std::string& host, uint64_t version,
+                             TimePoint lastThere) {
   const auto found = entries_.find(host);
   if (found == entries_.end() || found->second.removedAt ||
       version < found->second.registration.version) {
@@ -66,6 +67,7 @@
   Entry& entry = found->second;
   entry.registration.version = version;
   entry.removedAt = now;
+  entry.lastThere = lastThere;
   entry.afterOutage = isAftermath(now);
   return true;
 }
@@ -160,7 +162,7 @@
 TimePoint HostPresence::activeUntil(const Entry& entry) const {
   TimePoint until = *entry.removedAt;
   if (entry.afterOutage || entry.withMany) {
-    until += options_.vanishedGrace;
+    until = std::max(until, entry.lastThere + options_.vanishedGrace);
   }
   if (entry.afterOutage && recoveredAt_) {
     until = std::max(until, *recoveredAt_ + options_.outageGrace);
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -59,8 +59,17 @@
 
   /** A registration is there. @return whether it was news. */
   bool onRegistered(HostRegistration registration);
-  /** A registration ended. @param version of the event. @return whether it was news. */
-  bool onRemoved(TimePoint now, const std::string& host, uint64_t version);
+  /**
+   * A registration ended.
+   * @param version of the event.
+   * @param lastThere when it was still there, as far as is known: news may be late, and what a
+   * vanished host is granted counts from its end and not from the news.
+   * @return whether it was news.
+   */
+  bool onRemoved(TimePoint now, const std::string& host, uint64_t version, TimePoint lastThere);
+  bool onRemoved(TimePoint now, const std::string& host, uint64_t version) {
+    return onRemoved(now, host, version, now);
+  }
   /**
    * A current list is complete; its hosts were registered before.
    * @param version of the store when the list began: registrations that are newer may lack in it.
@@ -94,6 +103,8 @@
     HostRegistration registration;
     /** When the registration was seen to have ended; none while it is there. */
     std::optional<TimePoint> removedAt;
+    /** When it was still there, as far as is known; meaningful where it ended. */
+    TimePoint lastThere{};
     /** It ended in an outage or its aftermath. */
     bool afterOutage = false;
     /** It ended together with a large part of its pool. */
--- a/test/common/platform/host_presence_test.cc
+++ b/test/common/platform/host_presence_test.cc
@@ -94,6 +94,32 @@
   LONGS_EQUAL(7, draining());
 }
 
+/** Guards against flows on leaving hosts: a grace from late news on outlasts the bound of the
+ * drain. */
+TEST(HostPresence, TheGraceCountsFromTheEndAndNotFromLateNewsOfIt) {
+  registerHosts(4);
+  const TimePoint lastThere = now;
+  now += milliseconds(1500);
+  presence.onRemoved(now, nameOf(0), ++version, lastThere);
+  presence.onRemoved(now, nameOf(1), ++version, lastThere);
+  settle();
+  LONGS_EQUAL(4, active());
+  CHECK_TRUE(presence.nextChange() == lastThere + options.vanishedGrace);
+  now = lastThere + options.vanishedGrace;
+  settle();
+  LONGS_EQUAL(2, active());
+}
+
+TEST(HostPresence, NewsThatAreLaterThanTheGraceTakeAHostOutOfUseAtOnce) {
+  registerHosts(4);
+  const TimePoint lastThere = now;
+  now += seconds(3);
+  presence.onRemoved(now, nameOf(0), ++version, lastThere);
+  presence.onRemoved(now, nameOf(1), ++version, lastThere);
+  settle();
+  LONGS_EQUAL(2, active());
+}
+
 TEST(HostPresence, HostsThatVanishOneByOneCountAsALargePartTogether) {
   registerHosts(4);
   remove(0);
--- a/test/platform/store/store_copy_property.cc
+++ b/test/platform/store/store_copy_property.cc
@@ -155,7 +155,7 @@
       copy.applyWhole(now, version, since, peer.offered);
     }
     peer.copy.describeChanges(now, since, changes);
-    copy.apply(now, version, changes);
+    copy.apply(now, now, version, changes);
     version = std::max(version, peer.version);
   }
   /** @return whether it holds what the store had at its version, or something newer. */
--- a/test/platform/store/store_copy_test.cc
+++ b/test/platform/store/store_copy_test.cc
@@ -20,16 +20,40 @@
   }
   bool write(const std::string& name, uint64_t revision, const std::string& fields,
              const std::string& service = "s") {
-    const auto changes = decodeChanges(
-        StoreKind::kHosts,
-        R"({"events":[{"gone":false,"object":{"meta":{"name":")" + name + R"(","revision":)" +
-            std::to_string(revision) + R"(},"spec":{"service":")" + service +
-            R"(","address":"10.0.0.1:80","zone":"z",)" + fields + R"(}}}],"at":9})");
+    const auto changes =
+        decodeChanges(StoreKind::kHosts, R"({"events":[{"gone":false,"object":{"meta":{"name":")" +
+                                             name + R"(","revision":)" + std::to_string(revision) +
+                                             R"(},"spec":{"service":")" + service +
+                                             R"(","address":"10.0.0.)" + std::to_string(revision) +
+                                             R"(:80","zone":"z",)" + fields + R"(}}}],"at":9})");
     CHECK_TRUE(isOk(changes));
     const bool isRead = copy.apply(now, valueOf(changes).events.at(0));
     copy.settle(now);
     return isRead;
   }
+  /** The hosts i-1 and i-2 have ended. */
+  static PeerChanges bothEnded() {
+    PeerChanges changes;
+    changes.hostsVersion = 5;
+    for (uint64_t number = 1; number <= 2; ++number) {
+      HostEvent event;
+      event.host.name = "i-" + std::to_string(number);
+      event.version = 3 + number;
+      event.ended = true;
+      changes.events.push_back(event);
+    }
+    return changes;
+  }
+  size_t activeHosts() {
+    size_t active = 0;
+    for (const CatalogChange& change : copy.objects().whole().changes) {
+      const auto* pool = std::get_if<HostPool>(&change);
+      for (const HostSpec& host : pool == nullptr ? std::vector<HostSpec>{} : pool->hosts) {
+        active += host.state == HostState::kActive ? 1 : 0;
+      }
+    }
+    return active;
+  }
   /** @return the only host of the only pool. */
   HostSpec host() {
     std::vector<HostSpec> hosts;
@@ -43,6 +67,31 @@
   }
 };
 
+/** Guards against flows on leaving hosts: what readers tell is as old as the question before. */
+TEST(StoreCopyEntries, VanishedHostsAreGrantedTimeFromTheLastAnswerThatHadThem) {
+  write("i-2", 3, R"("state":"ready")");
+  PeerChanges none;
+  none.hostsVersion = 3;
+  copy.apply(now, now, 3, none);
+  now += std::chrono::milliseconds(1500);
+  copy.apply(now, now, 3, bothEnded());
+  copy.settle(now);
+  LONGS_EQUAL(2, activeHosts());
+  now += std::chrono::milliseconds(500);
+  copy.settle(now);
+  LONGS_EQUAL(0, activeHosts());
+}
+
+TEST(StoreCopyEntries, WhatTheStoreItselfTellsHappenedJustNow) {
+  write("i-2", 3, R"("state":"ready")");
+  copy.apply(now, now, 3, PeerChanges{});
+  copy.onOwnReading();
+  now += std::chrono::seconds(10);
+  copy.apply(now, now, 3, bothEnded());
+  copy.settle(now);
+  LONGS_EQUAL(2, activeHosts());
+}
+
 TEST(StoreCopyEntries, AnUnknownStateTakesAHostOutOfUseUntilItsNextWrite) {
   CHECK_FALSE(write("i-1", 3, R"("state":"odd")"));
   CHECK_TRUE(host().state == HostState::kDraining);
