Let a new flow wait for its replica where that may be beyond a cut

What callers saw: flows of nodes with shards whose packets reached a second host while a zone was cut off.

Cause: an owner forwarded a flow placed elsewhere than its base table says (an exception) before its replica had the record; where the replica lies beyond a cut, the other side takes the shard over without it. An owner noticed after 0.7 s of silence if a record waited, otherwise with the first death (3 to 4 s).

Ruled out: the death of a node (measured before: adds nothing).

Change: an exception's first packet waits for the acknowledgement of its record, unless the replica acknowledged something within 250 ms; after 250 ms in vain it is placed as with an unreliable replica. Waiting always was tried: two cases of NodeCore in which a policy makes each flow an exception then found flows without a host for 50 ms.

--- a/source/common/shard/local_shard.cc
+++ b/source/common/shard/local_shard.cc
@@ -229,6 +229,7 @@
   lastBaseAdvance_ = now;
   cautiousUntil_ = cautious ? now + context_.options.cautiousTime : now;
   log_.reset(now);
+  replicaLate_ = false;
   knownFlows_.stop();
   service_.placement->shardOwned(now, id_, permits);
   countEntries(now);
@@ -248,13 +249,12 @@
 }
 
 void LocalShard::releaseHeld(TimePoint now) {
-  for (HoldQueue::Packet& packet : held_.takeAll()) {
-    context_.held.release(now, std::move(packet.bytes), packet.source);
-  }
+  releasePackets(now, held_.takeAll());
 }
 
 void LocalShard::release(TimePoint now, NodeId successor) {
   ++context_.counters.releases;
+  std::vector<HoldQueue::Packet> unforwarded = giveUpUnacknowledged(now);
   releasedPermits_ = service_.placement->handOverPermits(id_);
   service_.placement->shardReleased(now, id_);
   role_ = ShardRole::kReleased;
@@ -266,6 +266,7 @@
   replicaNode_.reset();
   replicaSnapshot_.reset();
   nextBase_.reset();
+  releasePackets(now, std::move(unforwarded));
 }
 
 void LocalShard::fence(TimePoint now, NodeId newerOwner, uint32_t newerEpoch) {
--- a/source/common/shard/local_shard.h
+++ b/source/common/shard/local_shard.h
@@ -28,6 +28,7 @@
 #include "common/shard/shard_context.h"
 #include "common/shard/snapshot_sender.h"
 #include "common/shard/takeover.h"
+#include "common/shard/unacknowledged_flows.h"
 
 namespace umberhold {
 
@@ -147,18 +148,22 @@
   std::optional<ShardContent> heldContent(TimePoint now) const;
 
   // Packets (local_shard_packets.cc).
-  FlowDecision decideAsOwner(TimePoint now, const FlowPacket& packet);
+  FlowDecision decideAsOwner(TimePoint now, const FlowPacket& packet, std::string_view bytes);
   FlowDecision decideAcquiring(TimePoint now, const FlowPacket& packet, std::string_view bytes);
   FlowDecision decideReleased(TimePoint now, const FlowPacket& packet, std::string_view bytes);
-  FlowDecision decideUnknown(TimePoint now, const FlowPacket& packet);
-  FlowDecision decideHostGone(TimePoint now, const FlowPacket& packet, const FlowEntry& entry);
-  FlowDecision serveEntry(TimePoint now, const FlowPacket& packet, const FlowEntry& entry);
+  FlowDecision decideUnknown(TimePoint now, const FlowPacket& packet, std::string_view bytes);
+  FlowDecision decideHostGone(TimePoint now, const FlowPacket& packet, std::string_view bytes,
+                              const FlowEntry& entry);
+  FlowDecision serveEntry(TimePoint now, const FlowPacket& packet, std::string_view bytes,
+                          const FlowEntry& entry);
   /** @return whether a UDP packet without entry can only be the first of its flow. */
   bool opensUdpFlow(FlowHash flow) const;
-  FlowDecision adopt(TimePoint now, const FlowPacket& packet);
-  FlowDecision placeNew(TimePoint now, const FlowPacket& packet);
-  FlowDecision placeAtBase(TimePoint now, const FlowPacket& packet);
-  FlowDecision accept(TimePoint now, const FlowPacket& packet, HostId host);
+  FlowDecision adopt(TimePoint now, const FlowPacket& packet, std::string_view bytes);
+  FlowDecision placeNew(TimePoint now, const FlowPacket& packet, std::string_view bytes);
+  FlowDecision placeAtBase(TimePoint now, const FlowPacket& packet, std::string_view bytes);
+  /** An exception waits until the replica has its record, unless the replica was heard just now:
+   * see UnacknowledgedFlows. */
+  FlowDecision accept(TimePoint now, const FlowPacket& packet, std::string_view bytes, HostId host);
   FlowDecision refuse(TimePoint now, const FlowPacket& packet);
   FlowDecision relayTo(NodeId node) const;
   FlowDecision relayToNamed() const;
@@ -182,6 +187,13 @@
   void advanceBase(TimePoint now);
   void finishBaseAdvance(TimePoint now);
   bool replicationReliable(TimePoint now) const;
+  /** Lets new flows go on whose records the replica has. */
+  void releaseAcknowledged(TimePoint now);
+  /** Places new flows at the base that waited for the replica in vain. */
+  void placeOverdue(TimePoint now);
+  /** The node owns the shard no more. @return packets of new flows that were never forwarded. */
+  std::vector<HoldQueue::Packet> giveUpUnacknowledged(TimePoint now);
+  void releasePackets(TimePoint now, std::vector<HoldQueue::Packet> packets);
   void learnAllFlows(TimePoint now);
   void streamKnownFlows(TimePoint now);
   /** @return whether it is known of every flow whether it existed. */
@@ -210,6 +222,11 @@
   TimePoint lastBaseAdvance_{};
   ReplicationLog log_;
   KnownFlowStream knownFlows_;
+  UnacknowledgedFlows unacknowledged_;
+  /** When the replica last acknowledged something. */
+  TimePoint replicaHeardAt_{};
+  /** A record waited too long for its acknowledgement, and none has come since. */
+  bool replicaLate_ = false;
   std::optional<NodeId> replicaNode_;
   std::unique_ptr<SnapshotSender> replicaSnapshot_;
   uint32_t replicaSnapshotNumber_ = 0;
--- a/source/common/shard/local_shard_packets.cc
+++ b/source/common/shard/local_shard_packets.cc
@@ -14,7 +14,7 @@
 FlowDecision LocalShard::decide(TimePoint now, const FlowPacket& packet, std::string_view bytes) {
   switch (role_) {
     case ShardRole::kOwner:
-      return decideAsOwner(now, packet);
+      return decideAsOwner(now, packet, bytes);
     case ShardRole::kAcquiring:
       return decideAcquiring(now, packet, bytes);
     case ShardRole::kReleased:
@@ -29,14 +29,19 @@
   return relayToNamed();
 }
 
-FlowDecision LocalShard::decideAsOwner(TimePoint now, const FlowPacket& packet) {
+FlowDecision LocalShard::decideAsOwner(TimePoint now, const FlowPacket& packet,
+                                       std::string_view bytes) {
+  if (unacknowledged_.contains(packet.hash)) {
+    unacknowledged_.hold(packet.hash, bytes, packet.source);
+    return HoldPacket{};
+  }
   const auto before = context_.flows.find(now, flowSlot_, packet.hash);
   if (!before) {
-    return decideUnknown(now, packet);
+    return decideUnknown(now, packet, bytes);
   }
   const FlowEntry entry = *context_.flows.touch(now, flowSlot_, packet.hash, packet.phase);
   countChange(*before, entry);
-  return serveEntry(now, packet, entry);
+  return serveEntry(now, packet, bytes, entry);
 }
 
 void LocalShard::countChange(const FlowEntry& before, const FlowEntry& after) {
@@ -82,27 +87,27 @@
   return isNamedOwner() ? hold(packet, bytes) : relayToNamed();
 }
 
-FlowDecision LocalShard::serveEntry(TimePoint now, const FlowPacket& packet,
+FlowDecision LocalShard::serveEntry(TimePoint now, const FlowPacket& packet, std::string_view bytes,
                                     const FlowEntry& entry) {
   const HostSlot& slot = slots_.at(entry.hostSlot);
   if (!slot.runs) {
-    return decideHostGone(now, packet, entry);
+    return decideHostGone(now, packet, bytes, entry);
   }
   const bool ended = entry.state == FlowState::kClosing || entry.state == FlowState::kReset;
   const bool opensAnew = ended && packet.phase == PacketPhase::kOpening;
   if (opensAnew && !service_.placement->isAdmissible(now, id_, slot.host)) {
     dropEntry(now, entry);
-    return placeNew(now, packet);
+    return placeNew(now, packet, bytes);
   }
   return forward(entry.hostSlot);
 }
 
 FlowDecision LocalShard::decideHostGone(TimePoint now, const FlowPacket& packet,
-                                        const FlowEntry& entry) {
+                                        std::string_view bytes, const FlowEntry& entry) {
   dropEntry(now, entry);
   const bool startsAnew = packet.phase == PacketPhase::kOpening || !isTcp(packet);
   if (startsAnew) {
-    return placeNew(now, packet);
+    return placeNew(now, packet, bytes);
   }
   if (packet.phase == PacketPhase::kReset) {
     return DropPacket{DropReason::kHostGone};
@@ -127,19 +132,20 @@
   }
 }
 
-FlowDecision LocalShard::decideUnknown(TimePoint now, const FlowPacket& packet) {
+FlowDecision LocalShard::decideUnknown(TimePoint now, const FlowPacket& packet,
+                                       std::string_view bytes) {
   if (refused_.contains(packet.hash)) {
     return RefuseFlow{};
   }
   switch (packet.phase) {
     case PacketPhase::kOpening:
-      return placeNew(now, packet);
+      return placeNew(now, packet, bytes);
     case PacketPhase::kUnmarked:
-      return opensUdpFlow(packet.hash) ? placeNew(now, packet) : adopt(now, packet);
+      return opensUdpFlow(packet.hash) ? placeNew(now, packet, bytes) : adopt(now, packet, bytes);
     case PacketPhase::kContinuing:
     case PacketPhase::kClosing:
     case PacketPhase::kReset:
-      return adopt(now, packet);
+      return adopt(now, packet, bytes);
   }
   return DropPacket{DropReason::kMalformed};
 }
@@ -155,12 +161,12 @@
   return draining && !oldFlows_->contains(flow);
 }
 
-FlowDecision LocalShard::adopt(TimePoint now, const FlowPacket& packet) {
+FlowDecision LocalShard::adopt(TimePoint now, const FlowPacket& packet, std::string_view bytes) {
   const auto host = base_.defaultHost(packet.hash);
   const auto slot = host ? enterHost(*host) : std::nullopt;
   if (!slot) {
     if (!isTcp(packet)) {
-      return placeNew(now, packet);
+      return placeNew(now, packet, bytes);
     }
     const bool silent = packet.phase == PacketPhase::kReset;
     return silent ? FlowDecision{DropPacket{DropReason::kHostGone}}
@@ -194,9 +200,9 @@
   return now < cautiousUntil_ || now < context_.cautiousUntil;
 }
 
-FlowDecision LocalShard::placeNew(TimePoint now, const FlowPacket& packet) {
+FlowDecision LocalShard::placeNew(TimePoint now, const FlowPacket& packet, std::string_view bytes) {
   if (isCautious(now)) {
-    return placeAtBase(now, packet);
+    return placeAtBase(now, packet, bytes);
   }
   if (!service_.admitting) {
     return refuse(now, packet);
@@ -209,21 +215,23 @@
     choice = placement.choose(now, id_, packet.hash, base_, PlacementMode::kNormal);
   }
   if (const auto* chosen = std::get_if<ChosenHost>(&choice)) {
-    return accept(now, packet, chosen->host);
+    return accept(now, packet, bytes, chosen->host);
   }
   return refuse(now, packet);
 }
 
-FlowDecision LocalShard::placeAtBase(TimePoint now, const FlowPacket& packet) {
+FlowDecision LocalShard::placeAtBase(TimePoint now, const FlowPacket& packet,
+                                     std::string_view bytes) {
   const auto host = base_.defaultHost(packet.hash);
   if (!host || !service_.placement->isAdmissible(now, id_, *host)) {
     // The flow may already run on the host: neither a second host nor a refusal would be true.
     return DropPacket{DropReason::kNoHost};
   }
-  return accept(now, packet, *host);
+  return accept(now, packet, bytes, *host);
 }
 
-FlowDecision LocalShard::accept(TimePoint now, const FlowPacket& packet, HostId host) {
+FlowDecision LocalShard::accept(TimePoint now, const FlowPacket& packet, std::string_view bytes,
+                                HostId host) {
   const auto slot = enterHost(host);
   if (!slot) {
     return DropPacket{DropReason::kNoHost};
@@ -240,7 +248,14 @@
   service_.placement->flowAdded(id_, host, FlowOrigin::kNew);
   if (flow.exception) {
     ++context_.counters.exceptionsPlaced;
+    const bool heardLately = now - replicaHeardAt_ < UnacknowledgedFlows::kPatience;
+    const bool waits =
+        replicaNode_ && !heardLately && replicationReliable(now) && !unacknowledged_.isFull();
     log_.added(now, PinnedFlow{packet.hash, host});
+    if (waits) {
+      unacknowledged_.add(now, packet.hash, log_.nextSequence() - 1, bytes, packet.source);
+      return HoldPacket{};
+    }
   }
   return forward(*slot);
 }
--- a/source/common/shard/local_shard_replication.cc
+++ b/source/common/shard/local_shard_replication.cc
@@ -150,6 +150,7 @@
   chooseReplica(now);
   learnAllFlows(now);
   advanceBase(now);
+  placeOverdue(now);
   if (!replicaNode_) {
     return;
   }
@@ -234,6 +235,7 @@
   }
   if (wanted != replicaNode_) {
     replicaNode_ = wanted;
+    replicaHeardAt_ = TimePoint{};
     replicaSnapshot_.reset();
     nextBase_.reset();
     log_.loseReplica();
@@ -266,6 +268,7 @@
     return;
   }
   log_.snapshotArrived(now);
+  releaseAcknowledged(now);
   if (nextBase_ && snapshotCarriesNextBase_) {
     finishBaseAdvance(now);
   }
@@ -309,7 +312,47 @@
   if (context_.mayHaveRivals(now)) {
     return false;
   }
-  return replicaNode_ ? log_.current(now) : context_.map.liveMembers() <= 1;
+  return replicaNode_ ? log_.current(now) && !replicaLate_ : context_.map.liveMembers() <= 1;
+}
+
+void LocalShard::releaseAcknowledged(TimePoint now) {
+  replicaHeardAt_ = now;
+  replicaLate_ = false;
+  if (log_.synchronised()) {
+    releasePackets(now, unacknowledged_.takeAcknowledged(log_.firstSequence()));
+  }
+}
+
+void LocalShard::placeOverdue(TimePoint now) {
+  for (UnacknowledgedFlows::Overdue& overdue : unacknowledged_.takeOverdue(now)) {
+    replicaLate_ = true;
+    if (const auto entry = context_.flows.find(now, flowSlot_, overdue.flow)) {
+      dropEntry(now, *entry);
+    }
+    context_.held.release(now, std::move(overdue.packet.bytes), overdue.packet.source);
+  }
+}
+
+std::vector<HoldQueue::Packet> LocalShard::giveUpUnacknowledged(TimePoint now) {
+  if (unacknowledged_.isEmpty()) {
+    return {};
+  }
+  std::vector<FlowEntry> entries;
+  context_.flows.forEach(now, flowSlot_, [&](const FlowEntry& entry) {
+    if (unacknowledged_.contains(entry.flow)) {
+      entries.push_back(entry);
+    }
+  });
+  for (const FlowEntry& entry : entries) {
+    dropEntry(now, entry);
+  }
+  return unacknowledged_.takeAll();
+}
+
+void LocalShard::releasePackets(TimePoint now, std::vector<HoldQueue::Packet> packets) {
+  for (HoldQueue::Packet& packet : packets) {
+    context_.held.release(now, std::move(packet.bytes), packet.source);
+  }
 }
 
 void LocalShard::learnAllFlows(TimePoint now) {
@@ -352,6 +395,7 @@
     knownFlows_.stop();
   } else {
     log_.onAck(now, ack.nextSequence);
+    releaseAcknowledged(now);
     knownFlows_.onAck(ack.nextKnown);
   }
 }
