--- a/source/common/shard/unacknowledged_flows.h
+++ b/source/common/shard/unacknowledged_flows.h
@@ -14,8 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "common/base/time.h"
 #include "common/base/strong_id.h"
+#include "common/base/time.h"
 #include "common/shard/hold_queue.h"
 
 namespace umberhold {
--- a/test/common/node/cut_replication_test.cc
+++ b/test/common/node/cut_replication_test.cc
@@ -8,7 +8,8 @@
 namespace umberhold {
 namespace {
 
-/** Of the flows that live in a cut no more may break than one node's death may break: 1 of 1,000. */
+/** Of the flows that live in a cut no more may break than one node's death may break: 1 of 1,000.
+ */
 constexpr uint64_t kFlowsOfOneLoss = 1000;
 constexpr uint64_t kSeeds = 12;
 constexpr uint32_t kServices = 3;
@@ -27,8 +28,8 @@
       std::vector<ClusterStep> steps = {{ClusterChange::kJoin, 0, 1000},
                                         {ClusterChange::kJoin, 0, 8000}};
       for (uint32_t service = 0; drainLead && service < kServices; ++service) {
-        steps.push_back({ClusterChange::kDrainHost, service,
-                         service + 1 == kServices ? *drainLead : 0});
+        steps.push_back(
+            {ClusterChange::kDrainHost, service, service + 1 == kServices ? *drainLead : 0});
       }
       steps.push_back({ClusterChange::kCutZones, 0, 0});
       steps.push_back({ClusterChange::kCutZones, 2, kCutMilliseconds});
