--- a/source/common/shard/unacknowledged_flows.h
+++ b/source/common/shard/unacknowledged_flows.h
@@ -23,7 +23,7 @@
 /** Not thread safe. */
 class UnacknowledgedFlows {
  public:
-  /** Flows that wait at most; further exceptions are not made. */
+  /** Flows that wait at most; further ones go on at once. */
   static constexpr size_t kMostFlows = 256;
   /** A replica that needs longer for a record is cut off or has no budget. */
   static constexpr Duration kPatience = std::chrono::milliseconds(250);
