--- a/source/common/token/silence_judge.cc
+++ b/source/common/token/silence_judge.cc
@@ -61,12 +61,12 @@
 std::set<uint32_t> SilenceJudge::onZoneSilent(TimePoint now,
                                               const std::vector<SilentHost>& silentHosts) {
   std::set<uint32_t> silent;
-  for (const SilentHost& told : silentHosts) {
-    const TokenHost* host = hosts_.find(told.token);
-    const TimePoint since = now - std::chrono::milliseconds(told.silentMilliseconds);
-    if (host != nullptr && host->livedAt(since) && isOvertaken(now, told.token, since) &&
+  for (const SilentHost& named : silentHosts) {
+    const TokenHost* host = hosts_.find(named.token);
+    const TimePoint since = now - std::chrono::milliseconds(named.silentMilliseconds);
+    if (host != nullptr && host->livedAt(since) && isOvertaken(now, named.token, since) &&
         host->silence.answeredAt().value_or(TimePoint{}) < since) {
-      silent.insert(told.token);
+      silent.insert(named.token);
     }
   }
   return judge(now, silent, SilenceSource::kZone);
--- a/test/common/token/silence_judge_test.cc
+++ b/test/common/token/silence_judge_test.cc
@@ -1,4 +1,4 @@
-/** @file Which silent hosts count as dead, and what is told of it. */
+/** @file Which silent hosts count as dead, and what the log says of it. */
 #include "common/token/silence_judge.h"
 
 #include <string>
