--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -123,10 +124,29 @@
 /** @return the snake_case label of a reason. */
 std::string_view toString(RefusalReason reason);
 
+/** Why a host counts as silent to the caller of one packet; for logs. */
+struct SilentHostEvidence {
+  HostLabel label;
+  /** The host counts as dead by an earlier verdict (SilenceVerdict); otherwise this packet decided.
+   */
+  bool byVerdict = false;
+  /** How often the refused data has passed, including this packet. */
+  uint32_t copies = 0;
+  /** Time since the data passed for the first time. */
+  Duration sinceFirstCopy{0};
+  /** Time since the host last acknowledged data at this node; unset if it never did. */
+  std::optional<Duration> sinceAnswer;
+  /** Time since the transmission of the latest data that another host answered; unset if unknown.
+   */
+  std::optional<Duration> sinceOvertaking;
+};
+
 /** Notify the caller that the flow is refused or that its host has stopped; the packet is not
  * forwarded. */
 struct RefuseFlow {
   RefusalReason reason = RefusalReason::kNoHost;
+  /** Borrowed; set for kHostSilent by directors that provide it. */
+  const SilentHostEvidence* silence = nullptr;
 };
 /** Reset a flow towards its caller without a packet to answer, because its host is dead. */
 struct ResetFlow {
--- a/source/common/platform/store_read_status.h
+++ b/source/common/platform/store_read_status.h
@@ -23,6 +23,10 @@
   uint64_t peerFailures = 0;
   /** Peer requests that were answered with this node's state. */
   uint64_t answeredPeerRequests = 0;
+  /** Bytes of answers to peers, by what they contain. */
+  uint64_t answeredChangesBytes = 0;
+  uint64_t answeredHostsBytes = 0;
+  uint64_t answeredConfigurationBytes = 0;
   /** Number of times that all hosts were encoded for peers that were too far behind. */
   uint64_t hostCopies = 0;
   /** Whether this node currently reads the store itself; otherwise it follows a peer. */
--- a/source/common/server/flow_log.cc
+++ b/source/common/server/flow_log.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "common/packet/request_header.h"
+#include "common/server/silence_text.h"
 
 namespace umberhold {
 namespace {
@@ -63,6 +64,24 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/** Writes the evidence for a silent host; nothing if there is none. */
+struct SilentHostText {
+  const SilentHostEvidence* evidence;
+};
+
+std::ostream& operator<<(std::ostream& out, const SilentHostText& text) {
+  if (text.evidence == nullptr) {
+    return out;
+  }
+  const SilentHostEvidence& evidence = *text.evidence;
+  return out << " pool=" << evidence.label.pool << " host=" << evidence.label.name
+             << " by=" << (evidence.byVerdict ? "verdict" : "copies")
+             << " copies=" << evidence.copies
+             << " since_first_ms=" << MillisecondsText{evidence.sinceFirstCopy}
+             << " answered_ms=" << MillisecondsText{evidence.sinceAnswer}
+             << " overtaken_ms=" << MillisecondsText{evidence.sinceOvertaking};
+}
+
 /** Writes the evidence for a placement. */
 struct EvidenceText {
   const PlacementEvidence& evidence;
@@ -204,7 +223,7 @@
     LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, WARNING)
         << "event=flow_refused reason=" << umberhold::toString(decision.reason)
         << " flow=" << FlowText{context.packet.key} << " phase=" << toString(context.packet.phase)
-        << " request=" << RequestText{context.requestId};
+        << " request=" << RequestText{context.requestId} << SilentHostText{decision.silence};
   }
 }
 
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -111,6 +111,14 @@
           .add(static_cast<double>(store.answeredPeerRequests),
                {metricLabel("outcome", "answered")})
           .take());
+  families.push_back(
+      counterFamily("umberhold_peer_answer_bytes_total",
+                    "Bytes of answers to peers before HTTP headers, by what they contain")
+          .add(static_cast<double>(store.answeredChangesBytes), {metricLabel("kind", "changes")})
+          .add(static_cast<double>(store.answeredHostsBytes), {metricLabel("kind", "hosts")})
+          .add(static_cast<double>(store.answeredConfigurationBytes),
+               {metricLabel("kind", "configuration")})
+          .take());
   families.push_back(
       counterOf("umberhold_host_copies_total",
                 "How often all hosts were encoded for peers that were too far behind",
--- a/source/common/token/silence_detector.cc
+++ b/source/common/token/silence_detector.cc
@@ -54,6 +54,11 @@
   return other == nullptr || other->sentAt >= since + kMinSilence;
 }
 
+std::optional<Duration> SilenceDetector::sinceOvertaking(TimePoint now, uint32_t token) const {
+  const LatestAnswer* other = latestAnswerOfOther(now, token);
+  return other == nullptr ? std::nullopt : std::optional(now - other->sentAt);
+}
+
 std::set<uint32_t> SilenceDetector::onCopy(TimePoint now, const TokenHost& host) {
   const Duration silence = host.silence.silentFor(now);
   if (host.silence.callers() < kMinCallersOfDeadHost || silence < kMinSilence ||
@@ -128,9 +133,7 @@
   const HostAckState state = host.silence.ackState(host.token);
   SilenceVerdict& verdict = verdicts_.emplace_back();
   verdict = {outcome, source, host.pool, host.spec.name, state.callers.size(), state.copies};
-  if (const LatestAnswer* other = latestAnswerOfOther(now, host.token)) {
-    verdict.sinceOvertaking = now - other->sentAt;
-  }
+  verdict.sinceOvertaking = sinceOvertaking(now, host.token);
   verdict.silentFor = host.silence.silentFor(now);
   if (state.copies > 0) {
     verdict.sinceCopy = now - state.lastCopyAt;
--- a/source/common/token/silence_detector.h
+++ b/source/common/token/silence_detector.h
@@ -100,6 +100,11 @@
    * other host answered recently, because there is nothing to compare with.
    */
   bool isOvertaken(TimePoint now, uint32_t token, TimePoint since) const;
+  /**
+   * @return the time since the transmission of the latest data that a host other than this one
+   * answered; nothing if no other host answered recently.
+   */
+  std::optional<Duration> sinceOvertaking(TimePoint now, uint32_t token) const;
   /**
    * Handles a retransmission of data that a host left unacknowledged.
    * @return the host's token if the host counts as dead.
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -325,11 +325,12 @@
   deadHostFlows_.record(now, packet);
   const bool opened = recordOpened(now, packet);
   recordResponse(now, packet, *host, opened);
-  const bool isHostSilent = recordProgress(now, packet, *host);
+  const PacketProgress progress = progress_.record(now, packet);
+  const bool isHostSilent = recordProgress(now, packet, progress, *host);
   const bool isToDeadHost =
       packet.dataBytes > 0 && host->isDead(now) && isRepeatable(packet.service);
   if (isHostSilent || isToDeadHost) {
-    return RefuseFlow{RefusalReason::kHostSilent};
+    return refuseSilent(now, progress, *host, !isHostSilent);
   }
   host->estimate.onPacket(now);
   return forward(*host);
@@ -473,8 +474,23 @@
   }
 }
 
-bool TokenDirector::recordProgress(TimePoint now, const FlowPacket& packet, TokenHost& host) {
-  const PacketProgress progress = progress_.record(now, packet);
+RefuseFlow TokenDirector::refuseSilent(TimePoint now, const PacketProgress& progress,
+                                       const TokenHost& host, bool byVerdict) {
+  SilentHostEvidence& evidence = silentHostEvidence_;
+  evidence = {};
+  evidence.label = {host.spec.name, host.pool};
+  evidence.byVerdict = byVerdict;
+  evidence.copies = progress.copies;
+  evidence.sinceFirstCopy = now - progress.firstAt;
+  if (host.silence.answeredAt()) {
+    evidence.sinceAnswer = now - *host.silence.answeredAt();
+  }
+  evidence.sinceOvertaking = silenceDetector_.sinceOvertaking(now, host.token);
+  return {RefusalReason::kHostSilent, &evidence};
+}
+
+bool TokenDirector::recordProgress(TimePoint now, const FlowPacket& packet,
+                                   const PacketProgress& progress, TokenHost& host) {
   if (progress.answered) {
     recordAnswered(now, host);
   }
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -252,7 +252,14 @@
    * Records what the packet shows about its host.
    * @return whether to refuse the flow because its host is silent and the request is safe to retry.
    */
-  bool recordProgress(TimePoint now, const FlowPacket& packet, TokenHost& host);
+  bool recordProgress(TimePoint now, const FlowPacket& packet, const PacketProgress& progress,
+                      TokenHost& host);
+  /**
+   * @param byVerdict whether an earlier verdict decided and not this packet.
+   * @return the refusal with its evidence, which is valid until the next one.
+   */
+  RefuseFlow refuseSilent(TimePoint now, const PacketProgress& progress, const TokenHost& host,
+                          bool byVerdict);
   /**
    * Records that the caller continues a flow that may have been opened recently.
    * @return whether it was.
@@ -315,6 +322,7 @@
   FlowProgress progress_;
   RequestTimer timer_;
   SilenceDetector silenceDetector_{hosts_};
+  SilentHostEvidence silentHostEvidence_;
   DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
   std::vector<SpeedChange> speedChanges_;
--- a/test/platform/packet/flow_log_test.cc
+++ b/test/platform/packet/flow_log_test.cc
@@ -205,6 +205,21 @@
   LONGS_EQUAL(1, log.counters().refused[static_cast<size_t>(RefusalReason::kHostEnded)]);
 }
 
+TEST(FlowLog, LogsTheEvidenceAgainstASilentHost) {
+  SilentHostEvidence evidence;
+  evidence.label = {"h-1", "dispatch"};
+  evidence.copies = 4;
+  evidence.sinceFirstCopy = milliseconds(1400);
+  evidence.sinceAnswer = milliseconds(1500);
+  const std::string bytes = packetOf(kAck, flowTokenOf(1));
+  const auto parsed = format.parse(bytes);
+  log.onDecided(now, valueOf(parsed), RefuseFlow{RefusalReason::kHostSilent, &evidence}, bytes);
+  checkLastLine(
+      "event=flow_refused reason=host_silent flow=100.64.0.7:40001>198.18.0.1:8000 "
+      "phase=continuing request=- pool=dispatch host=h-1 by=copies copies=4 since_first_ms=1400 "
+      "answered_ms=1500 overtaken_ms=-");
+}
+
 TEST(FlowLog, LogsCallerResets) {
   process(packetOf(kRst, flowTokenOf(1)));
   STRCMP_CONTAINS("event=caller_reset", lastLine().c_str());
