Add the failing test of the incident: a node's overloaded link resets flows of living hosts

Cause: the incident's log shows copies of one request lost on the own link of a node, then the flow refused as host_silent. No test let the packets of one node be lost and counted its resets: the property of living hosts exempts a node that is cut off.

--- a/test/common/token/living_hosts_property.cc
+++ b/test/common/token/living_hosts_property.cc
@@ -104,6 +104,16 @@
    * as errors.
    */
   void partitionNode(uint32_t node) { partitionedNode_ = node; }
+  /**
+   * Drops a share of the packets from these nodes to hosts for a while, as a link does that other
+   * traffic of the node fills.
+   * @param perThousand packet loss per thousand.
+   */
+  void overloadLinks(std::set<uint32_t> nodes, uint32_t perThousand, milliseconds length) {
+    overloadedNodes_ = std::move(nodes);
+    overloadLoss_ = perThousand;
+    overloadedUntil_ = now_ + length;
+  }
   /**
    * Pauses all hosts for a while; afterwards they answer everything that they received in that
    * time.
@@ -129,6 +139,10 @@
     return static_cast<uint32_t>(hashOf(flow.key).value % kNodes);
   }
   bool isLost() { return random_.below(1000) < loss_; }
+  bool isLostOnLink(const Flow& flow) {
+    return now_ < overloadedUntil_ && overloadedNodes_.contains(nodeOf(flow)) &&
+           random_.below(1000) < overloadLoss_;
+  }
 
   FlowPacket packetOf(const Flow& flow, PacketPhase phase, uint32_t dataBytes) const {
     FlowPacket packet;
@@ -180,7 +194,7 @@
 
   bool reaches(const Flow& flow, uint32_t token) {
     return !isPaused() && nodeOf(flow) != partitionedNode_ && !dead_.contains(token) && !isLost() &&
-           !isLost() && flow.key.caller.address != brokenCaller_;
+           !isLost() && !isLostOnLink(flow) && flow.key.caller.address != brokenCaller_;
   }
 
   void request(Flow& flow) {
@@ -253,6 +267,9 @@
   uint32_t partitionedNode_ = kNodes;
   uint32_t brokenCaller_ = 0;
   uint32_t loss_ = 0;
+  std::set<uint32_t> overloadedNodes_;
+  uint32_t overloadLoss_ = 0;
+  TimePoint overloadedUntil_{};
   TimePoint pausedUntil_{};
   uint32_t liveFlowsReset_ = 0;
   uint32_t deadFlowsReset_ = 0;
@@ -267,6 +284,18 @@
   RC_ASSERT(zone.liveFlowsReset() == 0U);
 }
 
+/** @param nodes number of nodes whose links lose packets at the same time. */
+void overloadLinks(size_t nodes) {
+  Zone zone(*rc::gen::arbitrary<uint64_t>());
+  zone.run(200);
+  const auto overloaded =
+      *rc::gen::container<std::set<uint32_t>>(nodes, rc::gen::inRange<uint32_t>(0, kNodes));
+  zone.overloadLinks(overloaded, *rc::gen::inRange<uint32_t>(300, 1001),
+                     milliseconds(*rc::gen::inRange(300, 2500)));
+  zone.run(500);
+  RC_ASSERT(zone.liveFlowsReset() == 0U);
+}
+
 }  // namespace
 
 TEST_GROUP_BASE(LivingHosts, test::WithoutLeakDetection){};
@@ -306,6 +335,12 @@
   CHECK_TRUE(rc::check("a short pause resets no flow", [] { pauseAllHosts(200, 480); }));
 }
 
+/** Guards against taking the loss on a node's own link for the death of its hosts. */
+TEST(LivingHosts, AnOverloadedLinkOfANodeResetsNoFlow) {
+  CHECK_TRUE(rc::check("one overloaded link resets no flow", [] { overloadLinks(1); }));
+  CHECK_TRUE(rc::check("two overloaded links reset no flow", [] { overloadLinks(2); }));
+}
+
 /** Guards against aggregated zone state that is older than what this node has observed since. */
 TEST(LivingHosts, ALongPauseOfAllHostsResetsNoFlow) {
   CHECK_TRUE(rc::check("a long pause resets no flow", [] { pauseAllHosts(500, 1900); }));
