Count a host's silence only while the node's own path works

What callers saw: requests under way reset (flow_refused reason=host_silent) although their hosts lived and answered other callers. Cause: a node took packets lost on its own link for the death of each host they were meant for. Copies were compared with answers of other hosts that were sent later, so that the first answer after a second of a full link overtook all hosts that had had no chance. Change (token/path_record.h): a copy counts only if other hosts answered what was sent within 200 ms before and after the transmission that was lost; a node alone needs misses over 500 ms with ten answers of others in between (the third copy too, in place of HostEstimate::isDeadSince); evidence is withdrawn where more than 2% of what went to living hosts turns out lost meanwhile. Data sent with the packet that answers counts (sentAt < answeredAt). The property no longer exempts a node that is cut off. Conclusion: the decision no longer rests on what a node can't tell apart; why the link was full is a fault of its own.

--- a/source/common/token/flow_progress.cc
+++ b/source/common/token/flow_progress.cc
@@ -1,5 +1,7 @@
 #include "common/token/flow_progress.h"
 
+#include <utility>
+
 #include "common/flow/sequence_number.h"
 
 namespace umberhold {
@@ -17,7 +19,7 @@
   const uint32_t copies = packet.dataBytes > 0 ? 1 : 0;
   entry = {packet.hash, packet.token, packet.sequence, packet.acknowledged, copies,
            now,         now,          drainCount_};
-  return {copies, now, false, std::nullopt};
+  return {copies, now, now};
 }
 
 PacketProgress FlowProgress::record(TimePoint now, const FlowPacket& packet) {
@@ -28,28 +30,30 @@
   if (isAfter(packet.acknowledged, entry.acknowledged)) {
     const std::optional<TimePoint> sentAt =
         entry.copies > 0 ? std::optional(entry.firstAt) : std::nullopt;
+    const uint32_t answeredCopies = entry.copies;
     PacketProgress progress = begin(now, packet, entry);
     progress.answered = true;
     progress.answeredSentAt = sentAt;
+    progress.answeredCopies = answeredCopies;
     return progress;
   }
   if (packet.dataBytes == 0) {
-    return {0, entry.firstAt, false, std::nullopt};
+    return {0, entry.firstAt, entry.lastAt};
   }
   if (entry.copies == 0 ||
       (packet.sequence != entry.sequence && now - entry.lastAt >= kMinRepeatInterval)) {
     return begin(now, packet, entry);
   }
   if (packet.sequence != entry.sequence) {
-    return {1, entry.firstAt, false, std::nullopt};
+    return {1, entry.firstAt, entry.lastAt};
   }
   if (now - entry.lastAt >= kMinRepeatInterval && entry.drainCount != drainCount_) {
+    const TimePoint previousAt = std::exchange(entry.lastAt, now);
     ++entry.copies;
-    entry.lastAt = now;
     entry.drainCount = drainCount_;
-    return {entry.copies, entry.firstAt, false, std::nullopt};
+    return {entry.copies, entry.firstAt, previousAt};
   }
-  return {1, entry.firstAt, false, std::nullopt};
+  return {1, entry.firstAt, entry.lastAt};
 }
 
 }  // namespace umberhold
--- a/source/common/token/flow_progress.h
+++ b/source/common/token/flow_progress.h
@@ -23,10 +23,14 @@
   uint32_t copies = 0;
   /** When the data passed for the first time. */
   TimePoint firstAt{};
+  /** When the previous copy of the data passed; equals firstAt if there was none. */
+  TimePoint previousAt{};
   /** The caller acknowledged new data. */
   bool answered = false;
   /** When the data that was answered passed for the first time; unset if unknown. */
   std::optional<TimePoint> answeredSentAt;
+  /** How often the data that was answered had passed; 0 if unknown. */
+  uint32_t answeredCopies = 0;
 };
 
 /**
--- a/source/common/token/host_estimate.h
+++ b/source/common/token/host_estimate.h
@@ -37,9 +37,8 @@
     }
   }
   /** Records that a caller continued a flow, which shows that the host has answered. */
-  void onAnswered(TimePoint now) {
+  void onAnswered() {
     unanswered_ = 0;
-    answeredAt_ = now;
     silentUntil_ = TimePoint{};
     silentDuration_ = kInitialSilentDuration;
   }
@@ -67,13 +66,6 @@
   }
   /** @return the number of recent packets with exponential decay by age. */
   double load(TimePoint now) const { return load_ * decay(now); }
-  /**
-   * @return whether callers, over all flows, have retransmitted enough packets without an answer
-   * since `since` for the host to count as dead.
-   */
-  bool isDeadSince(TimePoint since) const {
-    return unanswered_ >= kDeadAfter && answeredAt_ <= since;
-  }
   /** @return whether the host recently left several callers without an answer. */
   bool isSilent(TimePoint now) const { return now < silentUntil_; }
 
@@ -83,7 +75,6 @@
   static constexpr Duration kHalfLife = std::chrono::seconds(6);
   /** A single packet may be lost; two in a row without an answer indicate a silent host. */
   static constexpr uint32_t kSilentAfter = 2;
-  static constexpr uint32_t kDeadAfter = 3;
   /** How long a silent host is skipped; doubles with each failed retry. */
   static constexpr Duration kInitialSilentDuration = std::chrono::seconds(3);
   static constexpr Duration kMaxSilentDuration = std::chrono::seconds(12);
@@ -105,7 +96,6 @@
   double load_ = 0.0;
   TimePoint at_{};
   uint32_t unanswered_ = 0;
-  TimePoint answeredAt_{};
   TimePoint silentUntil_{};
   Duration silentDuration_ = kInitialSilentDuration;
   ResponseScore responses_{kSampleWeight};
--- a/source/common/token/silence_detector.cc
+++ b/source/common/token/silence_detector.cc
@@ -11,6 +11,11 @@
  * three retransmissions are required instead; see ZoneSilence.
  */
 constexpr size_t kMinCallersOfDeadHost = 3;
+/**
+ * Minimum number of answers by other hosts to data sent during the silence. On a path that loses
+ * packets, so many are unlikely to pass while every packet to one host is lost.
+ */
+constexpr uint64_t kMinDeliveries = 10;
 /** How long a host counts as dead after one detection. */
 constexpr Duration kDeadDuration = std::chrono::seconds(3);
 /**
@@ -20,6 +25,8 @@
 constexpr double kMaxDeadFraction = 0.5;
 /** Older answers are no evidence about the current state of the path. */
 constexpr Duration kAnswerLifetime = std::chrono::seconds(2);
+/** Number of suspected hosts above which those are forgotten that have answered. */
+constexpr size_t kMaxSuspected = 256;
 /** Maximum number of verdicts kept for the log; without a log, nothing consumes them. */
 constexpr size_t kMaxVerdicts = 256;
 
@@ -33,7 +40,18 @@
   return outcome == SilenceOutcome::kDead ? "dead" : "spared";
 }
 
-void SilenceDetector::onAnswered(TimePoint now, uint32_t token, TimePoint sentAt) {
+void SilenceDetector::onAnswered(TimePoint now, uint32_t token, TimePoint sentAt, uint32_t copies) {
+  if (copies > 1) {
+    path_.onLost(sentAt);
+    hasNewLoss_ = true;
+  } else {
+    path_.onDelivered(token, sentAt);
+  }
+  const TokenHost* host = hosts_.find(token);
+  if (host != nullptr && host->silence.unansweredSince().value_or(sentAt) < sentAt) {
+    path_.onLost(*host->silence.unansweredSince());
+    hasNewLoss_ = true;
+  }
   if (token != latest_.token) {
     previous_ = latest_;
     latest_ = {token, sentAt, now};
@@ -49,9 +67,57 @@
   return other.token != 0 && now - other.at <= kAnswerLifetime ? &other : nullptr;
 }
 
+std::vector<uint32_t> SilenceDetector::discardUnreliableEvidence() {
+  std::vector<uint32_t> discarded;
+  if (!std::exchange(hasNewLoss_, false)) {
+    return discarded;
+  }
+  std::erase_if(suspected_, [&](uint32_t token) {
+    TokenHost* host = hosts_.find(token);
+    if (host == nullptr || host->silence.copies() == 0) {
+      return true;
+    }
+    if (!path_.isLossySince(host->silence.firstMissedAt())) {
+      return false;
+    }
+    host->silence.discard();
+    discarded.push_back(token);
+    return true;
+  });
+  return discarded;
+}
+
+void SilenceDetector::recordCopy(TimePoint now, TokenHost& host, const PacketProgress& progress,
+                                 uint32_t caller) {
+  if (path_.workedAt(host.token, progress.previousAt)) {
+    host.silence.onCopy(now, progress.firstAt, progress.previousAt, caller);
+    suspect(host.token);
+  } else {
+    host.silence.onUnprovenCopy(progress.firstAt);
+  }
+}
+
+void SilenceDetector::suspect(uint32_t token) {
+  suspected_.insert(token);
+  if (suspected_.size() > kMaxSuspected) {
+    std::erase_if(suspected_, [this](uint32_t each) {
+      const TokenHost* host = hosts_.find(each);
+      return host == nullptr || host->silence.copies() == 0;
+    });
+  }
+}
+
 bool SilenceDetector::isOvertaken(TimePoint now, uint32_t token, TimePoint since) const {
   const LatestAnswer* other = latestAnswerOfOther(now, token);
-  return other == nullptr || other->sentAt >= since + kMinSilence;
+  const bool isComparable = other == nullptr || other->sentAt >= since + kMinSilence;
+  return isComparable && !path_.isLossySince(since);
+}
+
+bool SilenceDetector::isSilentOnWorkingPath(TimePoint now, const TokenHost& host) const {
+  const TimePoint first = host.silence.firstMissedAt();
+  const TimePoint last = host.silence.lastMissedAt();
+  return last - first >= kMinSilence && path_.deliveredBetween(first, last) >= kMinDeliveries &&
+         isOvertaken(now, host.token, now - host.silence.silentFor(now));
 }
 
 std::optional<Duration> SilenceDetector::sinceOvertaking(TimePoint now, uint32_t token) const {
@@ -60,9 +126,7 @@
 }
 
 std::set<uint32_t> SilenceDetector::onCopy(TimePoint now, const TokenHost& host) {
-  const Duration silence = host.silence.silentFor(now);
-  if (host.silence.callers() < kMinCallersOfDeadHost || silence < kMinSilence ||
-      !isOvertaken(now, host.token, now - silence)) {
+  if (host.silence.callers() < kMinCallersOfDeadHost || !isSilentOnWorkingPath(now, host)) {
     return {};
   }
   return decide(now, {host.token}, SilenceSource::kNode);
--- a/source/common/token/silence_detector.h
+++ b/source/common/token/silence_detector.h
@@ -19,6 +19,8 @@
 
 #include "common/base/time.h"
 #include "common/messages/peer_messages.h"
+#include "common/token/flow_progress.h"
+#include "common/token/path_record.h"
 #include "common/token/token_hosts.h"
 
 namespace umberhold {
@@ -87,19 +89,38 @@
   explicit SilenceDetector(TokenHosts& hosts) : hosts_(hosts) {}
 
   /**
-   * Records an answer of a host.
+   * Records an answer of a host. Must precede SilenceEvidence::onAnswered().
    * @param sentAt first transmission of the data that was answered.
+   * @param copies how often that data had passed.
    */
-  void onAnswered(TimePoint now, uint32_t token, TimePoint sentAt);
+  void onAnswered(TimePoint now, uint32_t token, TimePoint sentAt, uint32_t copies = 1);
+  /**
+   * Discards the evidence that was gathered while this node's path lost packets to live hosts.
+   * @return flow tokens of the hosts concerned.
+   */
+  std::vector<uint32_t> discardUnreliableEvidence();
+  /**
+   * Records a retransmission of data that a host left unacknowledged, as evidence against the host
+   * only if this node's path worked when the previous copy was sent.
+   * @param caller address of the caller.
+   */
+  void recordCopy(TimePoint now, TokenHost& host, const PacketProgress& progress, uint32_t caller);
   /**
    * Packets to live hosts are answered roughly in the order in which they were sent. If the node,
    * the path or all hosts are slow, a retransmission alone is therefore no evidence. This follows
    * the idea of RACK in TCP (RFC 8985).
    * @param since first transmission of the earliest data that the host left unacknowledged.
-   * @return whether another host answered data that was sent at least kMinSilence later. True if no
-   * other host answered recently, because there is nothing to compare with.
+   * @return whether another host answered data that was sent at least kMinSilence later, and this
+   * node's path lost little since then. True if no other host answered recently, because there is
+   * nothing to compare with.
    */
   bool isOvertaken(TimePoint now, uint32_t token, TimePoint since) const;
+  /**
+   * @return whether what this node alone has seen shows that the host is silent and not the path to
+   * it: data sent over at least kMinSilence was missed while this node's path worked, other hosts
+   * answered enough data sent in that time, and one of them data sent later.
+   */
+  bool isSilentOnWorkingPath(TimePoint now, const TokenHost& host) const;
   /**
    * @return the time since the transmission of the latest data that a host other than this one
    * answered; nothing if no other host answered recently.
@@ -128,6 +149,8 @@
   /** @return whether at most half of the pool's active hosts would be dead, including these. */
   bool leavesEnoughHosts(TimePoint now, const TokenPool& pool,
                          const std::set<uint32_t>& tokens) const;
+  /** Remembers that there is evidence against the host. */
+  void suspect(uint32_t token);
   void record(TimePoint now, const TokenHost& host, const TokenPool& pool, SilenceOutcome outcome,
               SilenceSource source);
 
@@ -148,6 +171,10 @@
   };
 
   TokenHosts& hosts_;
+  PathRecord path_;
+  /** Flow tokens of the hosts with evidence against them, as far as it has not been withdrawn. */
+  std::set<uint32_t> suspected_;
+  bool hasNewLoss_ = false;
   /** The host that answered last, and the last one that differs from it. */
   LatestAnswer latest_;
   LatestAnswer previous_;
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -12,7 +12,10 @@
 
 constexpr unsigned kAddressShift = 24;
 constexpr unsigned kPortShift = 8;
-/** Minimum number of copies of a packet before a flow is refused; see HostEstimate::isDeadSince. */
+/**
+ * Minimum number of copies of a packet, and of retransmissions to its host that are evidence
+ * against the host, before a flow is refused.
+ */
 constexpr uint32_t kMinCopiesOfSilentHost = 3;
 constexpr double kPercent = 100.0;
 /**
@@ -491,22 +494,25 @@
 
 bool TokenDirector::recordProgress(TimePoint now, const FlowPacket& packet,
                                    const PacketProgress& progress, TokenHost& host) {
+  if (progress.answeredSentAt) {
+    silenceDetector_.onAnswered(now, host.token, *progress.answeredSentAt, progress.answeredCopies);
+  }
   if (progress.answered) {
     recordAnswered(now, host);
   }
-  if (progress.answeredSentAt) {
-    silenceDetector_.onAnswered(now, host.token, *progress.answeredSentAt);
+  for (const uint32_t token : silenceDetector_.discardUnreliableEvidence()) {
+    queueAckState(*hosts_.find(token));
   }
   if (progress.copies < 2) {
     return false;
   }
   recordUnanswered(now, host);
-  host.silence.onCopy(now, progress.firstAt, packet.key.caller.address);
+  silenceDetector_.recordCopy(now, host, progress, packet.key.caller.address);
   queueAckState(host);
   resetFlowsOf(now, silenceDetector_.onCopy(now, host));
-  return progress.copies >= kMinCopiesOfSilentHost && host.estimate.isDeadSince(progress.firstAt) &&
-         silenceDetector_.isOvertaken(now, host.token, progress.firstAt) &&
-         isRepeatable(packet.service);
+  return progress.copies >= kMinCopiesOfSilentHost &&
+         host.silence.copies() >= kMinCopiesOfSilentHost &&
+         silenceDetector_.isSilentOnWorkingPath(now, host) && isRepeatable(packet.service);
 }
 
 bool TokenDirector::isRepeatable(ServiceId service) const {
@@ -555,7 +561,7 @@
 }
 
 void TokenDirector::recordAnswered(TimePoint now, TokenHost& host) {
-  host.estimate.onAnswered(now);
+  host.estimate.onAnswered();
   host.silence.onAnswered(now);
   host.deadUntil = TimePoint{};
   queueAckState(host);
--- a/source/common/token/token_hosts.cc
+++ b/source/common/token/token_hosts.cc
@@ -122,7 +122,7 @@
   // The host may still be queued for reporting its acknowledgement state.
   restarted.isAckStatePending = host.isAckStatePending;
   restarted.evidenceValidFrom = since;
-  restarted.estimate.onAnswered(since);
+  restarted.estimate.onAnswered();
   restarted.silence.onAnswered(since);
   host = std::move(restarted);
 }
