Hand on configurations of more than a mebibyte

Cause: the text of the configuration that a reader hands to followers was expanded up to the limit of a message (1 MiB), though it is no message. 5,705 routes take 1.09 MB. Each follower failed with malformed_answer, asked the next node, which then read 1 MB from the store and handed out answers that nobody could use, until all nodes of the zone had.

--- a/source/common/wire/payload_compression.cc
+++ b/source/common/wire/payload_compression.cc
@@ -102,7 +102,7 @@
   return !bytes.empty() && bytes.front() == kCompressedMarker;
 }
 
-Result<std::string, DecodeError> decompressPayload(std::string_view bytes) {
+Result<std::string, DecodeError> decompressPayload(std::string_view bytes, size_t maxBytes) {
   if (!isCompressedPayload(bytes)) {
     return std::string(bytes);
   }
@@ -123,7 +123,7 @@
     stream.avail_out = static_cast<uInt>(chunk.size());
     outcome = inflate(&stream, Z_NO_FLUSH);
     payload.append(chunk.data(), chunk.size() - stream.avail_out);
-    if (payload.size() > kMaxEncodedBytes) {
+    if (payload.size() > maxBytes) {
       return DecodeError{DecodeErrorCode::kTooLong};
     }
   }
--- a/source/common/wire/payload_compression.h
+++ b/source/common/wire/payload_compression.h
@@ -34,8 +34,12 @@
                             CompressionEffort effort = CompressionEffort::kBest);
 /** @return whether the bytes have the marker of a compressed payload. */
 bool isCompressedPayload(std::string_view bytes);
-/** Decompresses untrusted bytes; uncompressed ones are returned unchanged. @return at most
- * kMaxEncodedBytes of payload, or an error. */
-Result<std::string, DecodeError> decompressPayload(std::string_view bytes);
+/**
+ * Decompresses untrusted bytes; uncompressed ones are returned unchanged.
+ * @param maxBytes maximum size of the payload.
+ * @return the payload; kTooLong if it is larger.
+ */
+Result<std::string, DecodeError> decompressPayload(std::string_view bytes,
+                                                   size_t maxBytes = kMaxEncodedBytes);
 
 }  // namespace umberhold
--- a/test/common/wire/payload_compression_test.cc
+++ b/test/common/wire/payload_compression_test.cc
@@ -88,6 +88,14 @@
   CHECK(failureOf(packed) == DecodeErrorCode::kTooLong);
 }
 
+TEST(PayloadCompression, ExpandsUpToTheGivenSize) {
+  constexpr size_t kSize = 3 * kMaxEncodedBytes;
+  const std::string packed = compressPayload(std::string(kSize, 'a'));
+  CHECK(isOk(decompressPayload(packed, kSize)));
+  const auto larger = decompressPayload(packed, kSize - 1);
+  CHECK_TRUE(!isOk(larger) && errorOf(larger).code == DecodeErrorCode::kTooLong);
+}
+
 TEST(PayloadCompression, PayloadsRoundTrip) {
   CHECK(rc::check("decompressPayload(compressPayload(text)) == text", [] {
     const auto piece = *rc::gen::arbitrary<std::string>();
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -40,6 +40,21 @@
          R"("services":[{"name":"s-one","max_connections":2000}],"limits":{"idle_timeout_ms":15000}})";
 }
 
+/** @return a configuration with this many routes, each to its own address and port. */
+std::string largeConfiguration(uint64_t version, uint32_t routes) {
+  constexpr uint32_t kAddressesPerNetwork = 250;
+  std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
+  for (uint32_t index = 0; index < routes; ++index) {
+    text += index == 0 ? "" : ",";
+    text += R"({"name":"route-number-)" + std::to_string(index) + R"(","host":"198.18.)" +
+            std::to_string(index / kAddressesPerNetwork) + "." +
+            std::to_string(index % kAddressesPerNetwork) +
+            R"(","path_prefix":"/8000/","service":"s-one","timeout_ms":2500,"priority":1})";
+  }
+  return text + R"(],"services":[{"name":"s-one","max_connections":2000}],)" +
+         R"("limits":{"idle_timeout_ms":15000}})";
+}
+
 std::string hostEntry(uint32_t index, const std::string& state = "ready") {
   constexpr uint32_t kHostsPerNetwork = 250;
   return R"({"service":"s-one","address":"10.0.)" + std::to_string(index / kHostsPerNetwork) + "." +
@@ -281,6 +296,17 @@
   CHECK_EQUAL(1U, readers());
 }
 
+/** Guards against nodes that all read the store, and pass on what none of them can use. */
+TEST(ZoneReader, FollowersTakeAConfigurationOfManyRoutesFromTheirReader) {
+  constexpr uint32_t kRoutes = 21000;
+  startAll();
+  store.objects().set("config", "main", largeConfiguration(4, kRoutes));
+  for (const auto& node : nodes) {
+    CHECK_TRUE(holdsWithin([&] { return node->configurationVersion() == 4; }));
+  }
+  CHECK_EQUAL(1U, readers());
+}
+
 TEST(ZoneReader, NodesReceiveObservationsOfOtherNodes) {
   startAll();
   constexpr uint32_t kSlowHost = 77;
