--- a/test/common/token/token_director_test.cc
+++ b/test/common/token/token_director_test.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "common/base/hash.h"
+#include "test/common/token/token_director_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -15,135 +15,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr uint32_t kAddress = 0xC6120001;
-constexpr uint16_t kPort = 443;
-constexpr TimePoint kStart{seconds(1000)};
-constexpr milliseconds kAnswerInterval{50};
-
-HostSpec makeHost(uint64_t number, const std::string& zone = "bole") {
-  HostSpec host;
-  host.name = "h-" + std::to_string(number);
-  host.endpoint = {0x0A800000 + static_cast<uint32_t>(number), 8080};
-  host.zone = zone;
-  host.incarnation = number;
-  return host;
-}
-
-Service makePickup(const std::vector<HostGroup>& groups) {
-  Service service;
-  service.name = "pickup";
-  service.region = "addis";
-  service.address = kAddress;
-  service.port = kPort;
-  service.groups = groups;
-  return service;
-}
-
 }  // namespace
 
-TEST_GROUP(TokenDirector) {
-  RandomSource random{7};
-  TokenDirector director{{"bole", seconds(60)}, random};
-  TimePoint now = kStart;
-  uint64_t flows = 0;
-  /** Number of the last flow of passWithout(). */
-  uint64_t answeredFlows = 100000;
-
-  void setup() override {
-    director.setService(makePickup({{"dispatch", 1}}));
-    director.setPool(now, {"dispatch", {makeHost(1), makeHost(2)}});
-  }
-  FlowPacket packet(PacketPhase phase, uint64_t flow, uint32_t token) {
-    FlowPacket made;
-    made.hash = FlowHash{flow};
-    made.key.caller = {static_cast<uint32_t>(flow), 40000};
-    made.service = serviceIdOf("pickup");
-    made.phase = phase;
-    made.token = token;
-    return made;
-  }
-  FlowDecision open(uint64_t flow) {
-    return director.decide(now, packet(PacketPhase::kOpening, flow, 0), "");
-  }
-  /** Sends a packet with data, for the first time or as a retransmission. */
-  FlowDecision data(uint64_t flow, uint32_t token, uint32_t sequence) {
-    FlowPacket made = packet(PacketPhase::kContinuing, flow, token);
-    made.sequence = sequence;
-    made.dataBytes = 100;
-    const FlowDecision decision = director.decide(now, made, "");
-    director.onCaughtUp(now);
-    return decision;
-  }
-  /** @param sequence sequence number after the caller's data. */
-  void acknowledge(uint64_t flow, uint32_t token, uint32_t acknowledged, uint32_t sequence = 0) {
-    FlowPacket made = packet(PacketPhase::kContinuing, flow, token);
-    made.sequence = sequence;
-    made.acknowledged = acknowledged;
-    director.decide(now, made, "");
-    director.onCaughtUp(now);
-  }
-  /** Lets time pass, during which the other one of hosts 1 and 2 answers other callers. */
-  void passWithout(uint32_t token, milliseconds length) {
-    const uint32_t other = flowTokenOf(token == flowTokenOf(1) ? 2 : 1);
-    for (milliseconds passed{0}; passed < length; passed += kAnswerInterval) {
-      now += kAnswerInterval;
-      data(++answeredFlows, other, 7);
-      acknowledge(answeredFlows, other, 600);
-    }
-  }
-  /**
-   * Sends data and its retransmissions with the timeouts of a caller. The other host answers.
-   * @return the last decision.
-   */
-  FlowDecision sendCopies(uint64_t flow, uint32_t token, uint32_t copies) {
-    milliseconds wait(200);
-    passWithout(token, wait);
-    FlowDecision last = data(flow, token, 7);
-    for (uint32_t copy = 1; copy < copies; ++copy) {
-      passWithout(token, wait);
-      wait *= 2;
-      last = data(flow, token, 7);
-    }
-    return last;
-  }
-  void serveRepeatable() {
-    Service service = makePickup({{"dispatch", 1}});
-    service.repeatable = true;
-    director.setService(service);
-  }
-  FlowDecision next(uint64_t flow, uint32_t token) {
-    return director.decide(now, packet(PacketPhase::kContinuing, flow, token), "");
-  }
-  /** @return the incarnation of the host that a decision forwards to; 0 if it does not forward. */
-  static uint64_t hostOf(const FlowDecision& decision) {
-    const auto* forward = std::get_if<ForwardToHost>(&decision);
-    return forward == nullptr ? 0 : forward->incarnation;
-  }
-  /**
-   * Opens flows that their hosts answer.
-   * @return the number of flows by incarnation.
-   */
-  std::map<uint64_t, int> openMany(int count) {
-    std::map<uint64_t, int> placed;
-    for (int index = 0; index < count; ++index) {
-      const FlowDecision decision = open(++flows);
-      ++placed[hostOf(decision)];
-      if (const auto* forward = std::get_if<ForwardToHost>(&decision)) {
-        next(flows, forward->token);
-      }
-    }
-    return placed;
-  }
-  static bool isRefused(const FlowDecision& decision) {
-    return std::holds_alternative<RefuseFlow>(decision);
-  }
-  static bool isDropped(const FlowDecision& decision) {
-    return std::holds_alternative<DropPacket>(decision);
-  }
-  static bool isHeld(const FlowDecision& decision) {
-    return std::holds_alternative<HoldPacket>(decision);
-  }
-};
+TEST_GROUP_BASE(TokenDirector, TokenDirectorFixture){};
 
 TEST(TokenDirector, FindsAFlowsHostByItsTokenAlone) {
   const FlowDecision opened = open(1);
@@ -316,69 +190,6 @@
   CHECK_FALSE(director.find(kAddress, kPort, TransportProtocol::kTcp).has_value());
 }
 
-TEST(TokenDirector, RefusesAFlowOfASilentHost) {
-  serveRepeatable();
-  const auto opened = open(1);
-  const uint32_t token = std::get<ForwardToHost>(opened).token;
-  CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 3)));
-  passWithout(token, milliseconds(800));
-  const FlowDecision fourth = data(1, token, 7);
-  CHECK_TRUE(std::holds_alternative<RefuseFlow>(fourth));
-  CHECK_TRUE(std::get<RefuseFlow>(fourth).reason == RefusalReason::kHostSilent);
-  // New flows go to the other host in the meantime.
-  for (uint64_t flow = 10; flow < 20; ++flow) {
-    CHECK_TRUE(hostOf(open(flow)) != hostOf(opened));
-  }
-}
-
-TEST(TokenDirector, CountsRetransmissionsOfOtherFlows) {
-  serveRepeatable();
-  const uint32_t token = flowTokenOf(1);
-  passWithout(token, milliseconds(200));
-  data(1, token, 7);
-  passWithout(token, milliseconds(200));
-  data(1, token, 7);
-  passWithout(token, milliseconds(150));
-  data(2, token, 7);
-  passWithout(token, milliseconds(200));
-  data(2, token, 7);
-  passWithout(token, milliseconds(50));
-  data(1, token, 7);
-  passWithout(token, milliseconds(350));
-  // The third copy of this flow; without the other flow, its fourth would be refused.
-  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(2, token, 7)));
-}
-
-TEST(TokenDirector, AnyAnswerEndsSilence) {
-  serveRepeatable();
-  const uint32_t token = std::get<ForwardToHost>(open(1)).token;
-  acknowledge(2, token, 10);
-  CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 3)));
-  acknowledge(2, token, 600);
-  passWithout(token, milliseconds(800));
-  CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, token, 7)));
-}
-
-TEST(TokenDirector, ANodeThatLosesItsPacketsRefusesNoFlow) {
-  serveRepeatable();
-  const uint32_t token = flowTokenOf(1);
-  passWithout(token, milliseconds(500));
-  // Nothing sent within 1.2 s is answered by any host; host 2 answers what is sent afterwards.
-  data(1, token, 7);
-  for (const int wait : {200, 400}) {
-    now += milliseconds(wait);
-    CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, token, 7)));
-  }
-  now += milliseconds(600);
-  passWithout(token, milliseconds(200));
-  CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, token, 7)));
-}
-
-TEST(TokenDirector, LeavesNonRepeatableRequestsToTheirHost) {
-  const uint32_t token = std::get<ForwardToHost>(open(1)).token;
-  CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 6)));
-}
-
 TEST(TokenDirector, ResetsFlowsOfATerminatedHostAtOnce) {
   data(1, flowTokenOf(1), 100);
   acknowledge(1, flowTokenOf(1), 600, 200);
@@ -398,71 +209,6 @@
   CHECK_FALSE(director.hasResets());
 }
 
-TEST(TokenDirector, HostSilentToThreeCallersIsDead) {
-  serveRepeatable();
-  const uint32_t token = flowTokenOf(1);
-  acknowledge(9, token, 10);
-  acknowledge(9, token, 600);
-  passWithout(token, milliseconds(100));
-  for (uint64_t flow = 1; flow <= 3; ++flow) {
-    data(flow, token, 7);
-  }
-  passWithout(token, milliseconds(200));
-  // All three callers retransmit during one pause of the host.
-  for (uint64_t flow = 1; flow <= 3; ++flow) {
-    CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(flow, token, 7)));
-  }
-  CHECK_FALSE(director.hasResets());
-  passWithout(token, milliseconds(300));
-  CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(3, token, 7)));
-  passWithout(token, milliseconds(500));
-  // The host has missed what was sent over 500 ms.
-  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(3, token, 7)));
-  // Requests in flight are safe to retry, and flow 9 is idle.
-  LONGS_EQUAL(4, director.takeResets().size());
-  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(4, token, 7)));
-  LONGS_EQUAL(0, openMany(20)[1]);
-}
-
-TEST(TokenDirector, HostSilentToTheZoneIsDeadUnlessItAnsweredHere) {
-  const uint32_t token = flowTokenOf(1);
-  acknowledge(9, token, 10);
-  acknowledge(9, token, 600);
-  now += milliseconds(500);
-  director.applySilentHosts(now, {{token, 600}});
-  CHECK_FALSE(director.hasResets());
-  director.applySilentHosts(now, {{token, 400}});
-  LONGS_EQUAL(1, director.takeResets().size());
-  CHECK_EQUAL(1, hostOf(next(10, token)));
-  LONGS_EQUAL(0, openMany(20)[1]);
-  acknowledge(10, token, 10);
-  acknowledge(10, token, 600);
-  CHECK_TRUE(openMany(20)[1] > 0);
-}
-
-TEST(TokenDirector, NeverMarksMoreThanHalfOfAPoolDead) {
-  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
-  acknowledge(9, flowTokenOf(1), 10);
-  acknowledge(9, flowTokenOf(1), 600);
-  now += milliseconds(500);
-  director.applySilentHosts(now, {{flowTokenOf(1), 400}, {flowTokenOf(2), 400}});
-  CHECK_FALSE(director.hasResets());
-  director.applySilentHosts(now, {{flowTokenOf(1), 400}});
-  CHECK_TRUE(director.hasResets());
-}
-
-TEST(TokenDirector, ReportsEachAcknowledgementStateOnce) {
-  passWithout(flowTokenOf(1), milliseconds(200));
-  data(1, flowTokenOf(1), 7);
-  passWithout(flowTokenOf(1), milliseconds(200));
-  data(1, flowTokenOf(1), 7);
-  const auto states = director.takeAckStates();
-  LONGS_EQUAL(2, states.size());
-  CHECK_TRUE(states[0].answeredAt == now);
-  LONGS_EQUAL(1, states[1].copies);
-  CHECK_TRUE(director.takeAckStates().empty());
-}
-
 TEST(TokenDirector, PlacesFewNewFlowsOnAVerySlowHost) {
   director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
   const auto serve = [this](uint64_t incarnation, milliseconds answerTime) {
