--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -18,12 +18,6 @@
  */
 constexpr uint32_t kMinCopiesOfSilentHost = 3;
 constexpr double kPercent = 100.0;
-/**
- * Speeds identify a host only by its token, and measurements of its previous generation persist in
- * the zone: 24 nodes with 6 samples each and a half-life of 8 s decay to 6 samples, the minimum for
- * an estimate (SpeedLearner), within 37 s (calculated).
- */
-constexpr Duration kSpeedRetention = std::chrono::seconds(40);
 /**
  * Maximum number of samples kept for other nodes; nothing consumes them on a node that does not
  * report.
@@ -31,11 +25,6 @@
 constexpr size_t kMaxSamples = 1024;
 /** A request that waits this many times longer than usual counts as a sample of the maximum. */
 constexpr double kOverdueRatio = ResponseScore::kMaxSample;
-/**
- * A low speed ends above this value (hysteresis), because estimates fluctuate by a fifth without a
- * cause.
- */
-constexpr double kSlowSpeedExit = 0.65;
 /**
  * Maximum requests in flight per slot of a pool for response times to be used for speed estimation;
  * in a fuller pool most requests wait for a slot (M/M/2).
@@ -429,44 +418,6 @@
   return load < kFreeSlotsLoad * pool.slots;
 }
 
-void TokenDirector::applySpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds) {
-  for (const LearnedSpeed& learned : speeds) {
-    TokenHost* host = hosts_.find(learned.token);
-    if (host != nullptr && learned.percentOfUsual > 0 &&
-        host->isCurrentGenerationAt(now - kSpeedRetention)) {
-      const double reported = learned.percentOfUsual / kPercent;
-      const HostSpeed speed{std::clamp(reported, kMinWorkRatio, kMaxWorkRatio),
-                            static_cast<double>(learned.samples)};
-      host->speed.update(now, speed);
-      updateLowSpeed(*host, speed.speed);
-    }
-  }
-}
-
-void TokenDirector::updateLowSpeed(TokenHost& host, double speed) {
-  const bool low = speed < (host.speedIsLow ? kSlowSpeedExit : kSlowSpeed);
-  if (low != host.speedIsLow) {
-    host.speedIsLow = low;
-    speedChanges_.push_back({host.pool, host.spec.name, low, speed});
-  }
-}
-
-SpeedSummary TokenDirector::speeds(TimePoint now) const {
-  SpeedSummary summary;
-  hosts_.forEachPool([&](const TokenPool& pool) {
-    for (const TokenHost* host : pool.hosts) {
-      const HostSpeed speed = host->speed.value(now);
-      if (host->listed && speed.samples > 0.0) {
-        summary.lowest = summary.known == 0 ? speed.speed : std::min(summary.lowest, speed.speed);
-        summary.highest = summary.known == 0 ? speed.speed : std::max(summary.highest, speed.speed);
-        ++summary.known;
-        summary.slow += speed.speed < kSlowSpeed ? 1 : 0;
-      }
-    }
-  });
-  return summary;
-}
-
 void TokenDirector::applySlowHosts(TimePoint now, const std::vector<SlowHost>& slowHosts) {
   for (const SlowHost& slowHost : slowHosts) {
     TokenHost* host = hosts_.find(slowHost.token);
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -30,6 +30,7 @@
 #include "common/token/flow_placement.h"
 #include "common/token/flow_progress.h"
 #include "common/token/group_shares.h"
+#include "common/token/host_speeds.h"
 #include "common/token/opening_watch.h"
 #include "common/token/request_timer.h"
 #include "common/token/response_score.h"
@@ -66,28 +67,6 @@
   std::optional<double> workRatio;
 };
 
-/** Speeds of listed hosts as received by this node; see HostSpeed. */
-struct SpeedSummary {
-  size_t known = 0;
-  /** Number of hosts slower than kSlowSpeed. */
-  size_t slow = 0;
-  /** 1 if no speed is known. */
-  double lowest = 1.0;
-  double highest = 1.0;
-};
-
-/** The estimated speed of a host became low or is no longer low; for logs. */
-struct SpeedChange {
-  std::string pool;
-  std::string host;
-  bool low = false;
-  /** See HostSpeed. */
-  double speed = 1.0;
-};
-
-/** Hosts below this speed count as slow in metrics and logs. */
-constexpr double kSlowSpeed = 0.5;
-
 /** See the file comment. Not thread safe. */
 class TokenDirector : public FlowDirector, public ServiceLookup {
  public:
@@ -140,10 +119,12 @@
   /** Applies the response time scores that the nodes of the zone have computed together. */
   void applySlowHosts(TimePoint now, const std::vector<SlowHost>& slowHosts);
   /** Applies the host speeds that the nodes of the zone have estimated together. */
-  void applySpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds);
-  SpeedSummary speeds(TimePoint now) const;
+  void applySpeeds(TimePoint now, const std::vector<LearnedSpeed>& speeds) {
+    speeds_.apply(now, speeds);
+  }
+  SpeedSummary speeds(TimePoint now) const { return speeds_.summary(now); }
   /** @return the hosts whose speed became low or is no longer low since the last call. */
-  std::vector<SpeedChange> takeSpeedChanges() { return std::exchange(speedChanges_, {}); }
+  std::vector<SpeedChange> takeSpeedChanges() { return speeds_.takeChanges(); }
   /** Handles hosts that are silent to all nodes of the zone. */
   void applySilentHosts(TimePoint now, const std::vector<SilentHost>& silentHosts);
   /** @return the verdicts on silent hosts since the last call. */
@@ -276,7 +257,6 @@
   void recordRequestEnd(TimePoint now, const ServiceEntry& service, const TokenHost& host,
                         Duration took, bool opened);
   void recordSample(TimePoint now, TokenHost& host, const HostSample& sample);
-  void updateLowSpeed(TokenHost& host, double speed);
   /** @return whether requests to the pool rarely wait for slots; false if the slots are unknown. */
   bool hasFreeSlots(TimePoint now, const TokenPool& pool) const;
   void queueAckState(TokenHost& host);
@@ -312,6 +292,7 @@
   /** Service by address, port and protocol packed into one integer. */
   std::unordered_map<uint64_t, ServiceId> listeners_;
   TokenHosts hosts_;
+  HostSpeeds speeds_{hosts_};
   FlowPlacement placement_;
   OpeningWatch openings_;
   Admission admission_;
@@ -325,7 +306,6 @@
   SilentHostEvidence silentHostEvidence_;
   DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
-  std::vector<SpeedChange> speedChanges_;
   /** Tokens of the hosts whose acknowledgement state changed; each once. */
   std::vector<uint32_t> pendingAckStates_;
 };
--- a/source/common/token/token_hosts.h
+++ b/source/common/token/token_hosts.h
@@ -86,7 +86,7 @@
   bool slow = false;
   HostEstimate estimate;
   KnownSpeed speed;
-  /** Its estimated speed is low; see TokenDirector::applySpeeds. */
+  /** Its estimated speed is low; see HostSpeeds. */
   bool speedIsLow = false;
   SilenceEvidence silence;
   /** Silent to several nodes or flows: counts as dead until this time unless it answers. */
