Forward open flows of routes that a node does not know yet, in place of resetting them

Cause: a packet to an unknown address was refused whatever its phase. Found by the survey of all resets. Openings are refused as before.

--- a/source/common/packet/packet_path.cc
+++ b/source/common/packet/packet_path.cc
@@ -94,6 +94,9 @@
                                 std::string_view bytes) {
   const Endpoint& address = packet.key.service;
   const auto match = services_.find(address.address, address.port, packet.key.protocol);
+  if (!match && isOpenFlowOfUnknownService(packet)) {
+    return director_.decide(now, flowPacketOf(packet, source), bytes);
+  }
   if (!match) {
     return rejectUnknown(packet);
   }
@@ -105,6 +108,12 @@
   return director_.decide(now, flow, bytes);
 }
 
+bool PacketPath::isOpenFlowOfUnknownService(const ParsedPacket& packet) const {
+  const Endpoint& address = packet.key.service;
+  return refuseUnknownServices_ && packet.phase != PacketPhase::kOpening &&
+         !services_.wasRemoved(address.address, address.port, packet.key.protocol);
+}
+
 FlowDecision PacketPath::rejectUnknown(const ParsedPacket& packet) const {
   if (refuseUnknownServices_ && packet.phase != PacketPhase::kReset) {
     return RefuseFlow{RefusalReason::kUnknownService};
--- a/source/common/packet/packet_path.h
+++ b/source/common/packet/packet_path.h
@@ -75,6 +75,11 @@
              std::string_view bytes);
   FlowDecision decide(TimePoint now, PacketSource source, const ParsedPacket& packet,
                       std::string_view bytes);
+  /**
+   * @return whether the packet may be of a flow that another node opened for a service that this
+   * node does not know yet; the director can still find its host by the flow token.
+   */
+  bool isOpenFlowOfUnknownService(const ParsedPacket& packet) const;
   FlowDecision rejectUnknown(const ParsedPacket& packet) const;
   void dropBeforeDecision(TimePoint now, DropReason reason, std::string_view bytes);
   void drop(DropReason reason);
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -149,6 +149,7 @@
   entry.groups = GroupShares(service.groups, random_);
   entry.overflow = SplitOverflow(overflow_, random_);
   listeners_[entry.listen] = id;
+  removedListeners_.erase(entry.listen);
 }
 
 void TokenDirector::removeService(const std::string& name) {
@@ -158,6 +159,7 @@
   }
   const auto listener = listeners_.find(place->second.listen);
   if (listener != listeners_.end() && listener->second == place->first) {
+    removedListeners_.add(listener->first);
     listeners_.erase(listener);
   }
   services_.erase(place);
@@ -301,6 +303,9 @@
 FlowDecision TokenDirector::continueFlow(TimePoint now, const FlowPacket& packet,
                                          std::string_view bytes) {
   TokenHost* host = hosts_.find(packet.token);
+  if (host == nullptr && !services_.contains(packet.service)) {
+    return DropPacket{DropReason::kUnknownService};
+  }
   if (host == nullptr) {
     // Any other host would receive a packet of a flow that it does not hold.
     return holdForHost(now, packet, bytes);
@@ -574,4 +579,8 @@
   return ServiceMatch{place->second, true};
 }
 
+bool TokenDirector::wasRemoved(uint32_t address, uint16_t port, TransportProtocol protocol) const {
+  return removedListeners_.contains(listenKey(address, port, protocol));
+}
+
 }  // namespace umberhold
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -32,6 +32,7 @@
 #include "common/token/group_shares.h"
 #include "common/token/host_speeds.h"
 #include "common/token/opening_watch.h"
+#include "common/token/removed_listeners.h"
 #include "common/token/request_timer.h"
 #include "common/token/response_score.h"
 #include "common/token/silence_detector.h"
@@ -109,6 +110,7 @@
   // ServiceLookup
   std::optional<ServiceMatch> find(uint32_t address, uint16_t port,
                                    TransportProtocol protocol) const override;
+  bool wasRemoved(uint32_t address, uint16_t port, TransportProtocol protocol) const override;
 
   /** Called when all packets that had arrived are handled; see FlowProgress and RequestTimer. */
   void onCaughtUp(TimePoint now);
@@ -291,6 +293,7 @@
   std::unordered_map<ServiceId, ServiceEntry> services_;
   /** Service by address, port and protocol packed into one integer. */
   std::unordered_map<uint64_t, ServiceId> listeners_;
+  RemovedListeners removedListeners_;
   TokenHosts hosts_;
   HostSpeeds speeds_{hosts_};
   FlowPlacement placement_;
