Play packet loss on the overloaded links of nodes in the soak

Change: fault overloaded_link (hard load, a random stream of its own): 40 to 95% of the datagrams that one node, in a quarter of the cases two, sends to hosts are lost for 0.4 to 2.5 s. Hosts know a node by the source address of its datagrams. It is recorded in neither tracker that excuses violations, so that each promise is judged through it; a reset by such a node says so. The report counts the datagrams lost.

--- a/test/soak/unit/evidence_test.cc
+++ b/test/soak/unit/evidence_test.cc
@@ -1,5 +1,7 @@
 /** @file Tests of the evaluation of runs, logs and resource usage, and of the fault plan. */
+#include <set>
 #include <sstream>
+#include <string_view>
 
 #include "test/soak/world/disturbance_tracker.h"
 #include "test/soak/world/fault_plan.h"
@@ -11,6 +13,7 @@
 namespace umberhold::soak {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr TimePoint kNow{seconds(100)};
@@ -145,4 +148,31 @@
   }
 }
 
+TEST(Evidence, OverloadedLinksAreDrawnWithinTheirBoundsAndOneAfterAnother) {
+  bool someWithTwoNodes = false;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    TimePoint::duration relievedAt{0};
+    for (const Fault& fault : drawOverloadedLinks(seed, seconds(60))) {
+      CHECK_TRUE(fault.kind == FaultKind::kOverloadedLink);
+      CHECK_TRUE(fault.at >= relievedAt && fault.at < seconds(60));
+      CHECK_TRUE(fault.duration >= milliseconds(400) && fault.duration <= milliseconds(2500));
+      CHECK_TRUE(fault.lossShare >= 0.4 && fault.lossShare <= 0.95);
+      CHECK_TRUE(fault.nodeCount == 1 || fault.nodeCount == 2);
+      someWithTwoNodes = someWithTwoNodes || fault.nodeCount == 2;
+      relievedAt = fault.at + fault.duration;
+    }
+    CHECK_TRUE(relievedAt > seconds(0));
+  }
+  CHECK_TRUE(someWithTwoNodes);
+}
+
+TEST(Evidence, FaultNamesAreKnownAndUnique) {
+  std::set<std::string_view> names;
+  for (uint8_t index = 0; index < static_cast<uint8_t>(FaultKind::kCount); ++index) {
+    names.insert(toString(static_cast<FaultKind>(index)));
+  }
+  LONGS_EQUAL(static_cast<uint8_t>(FaultKind::kCount), names.size());
+  CHECK_FALSE(names.contains("unknown"));
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_injector.cc
+++ b/test/soak/world/fault_injector.cc
@@ -283,6 +283,10 @@
 }
 
 void FaultInjector::injectHardLoadFault(TimePoint now, const Fault& fault) {
+  if (fault.kind == FaultKind::kOverloadedLink) {
+    overloadLinks(now, fault);
+    return;
+  }
   if (fault.kind != FaultKind::kRestartHost) {
     reduceCapacity(now, fault);
     return;
@@ -294,6 +298,25 @@
   }
 }
 
+void FaultInjector::overloadLinks(TimePoint now, const Fault& fault) {
+  const size_t all = plan_.nodes().size();
+  const size_t first = chosenNode(fault);
+  std::vector<size_t> nodes = {first};
+  if (fault.nodeCount > 1) {
+    nodes.push_back((first + 1 + fault.choice / all % (all - 1)) % all);
+  }
+  const std::lock_guard lock(world_.mutex());
+  for (const size_t node : nodes) {
+    world_.overloadLink(now, node, fault.lossShare);
+  }
+  scheduleStep(now + fault.duration, [this, nodes](TimePoint later) {
+    const std::lock_guard worldLock(world_.mutex());
+    for (const size_t node : nodes) {
+      world_.relieveLink(later, node);
+    }
+  });
+}
+
 void FaultInjector::reduceCapacity(TimePoint now, const Fault& fault) {
   if (storeFaultActive_) {  // A host leaves only after the store has accepted its change.
     scheduleStep(now + kRetryInterval,
--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -14,6 +14,14 @@
 constexpr double kMaxFaultSeconds = 5.0;
 constexpr double kMeanHardLoadGapSeconds = 5.0;
 constexpr uint64_t kHardLoadStream = 1;
+constexpr uint64_t kOverloadedLinkStream = 2;
+constexpr double kMeanOverloadedLinkGapSeconds = 2.0;
+constexpr double kMinOverloadedLinkSeconds = 0.4;
+constexpr double kMaxOverloadedLinkSeconds = 2.5;
+constexpr double kMinLossShare = 0.4;
+constexpr double kMaxLossShare = 0.95;
+/** Share of the overloaded links that affect two nodes at once. */
+constexpr double kTwoNodesShare = 0.25;
 /** Longer than the bound after which leaving hosts receive no new flows (3 s) and than the maximum
  * time for which a service may be starved (6 s). */
 constexpr Duration kShortageDuration = std::chrono::seconds(8);
@@ -22,6 +30,11 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+/** @return a uniformly distributed number in [low, high). */
+double drawBetween(RandomSource& random, double low, double high) {
+  return low + random.unit() * (high - low);
+}
+
 }  // namespace
 
 std::string_view toString(FaultKind kind) {
@@ -74,6 +87,8 @@
       return "restart_host";
     case FaultKind::kKillReader:
       return "kill_reader";
+    case FaultKind::kOverloadedLink:
+      return "overloaded_link";
     case FaultKind::kCount:
       break;
   }
@@ -118,4 +133,23 @@
   return faults;
 }
 
+std::vector<Fault> drawOverloadedLinks(uint64_t seed, Duration length) {
+  RandomSource random(mixHash(seed, kOverloadedLinkStream));
+  std::vector<Fault> faults;
+  Duration at = secondsOf(2 * kMeanOverloadedLinkGapSeconds * random.unit());
+  while (at < length) {
+    Fault fault;
+    fault.kind = FaultKind::kOverloadedLink;
+    fault.at = at;
+    fault.duration =
+        secondsOf(drawBetween(random, kMinOverloadedLinkSeconds, kMaxOverloadedLinkSeconds));
+    fault.choice = random.below(UINT32_MAX);
+    fault.lossShare = drawBetween(random, kMinLossShare, kMaxLossShare);
+    fault.nodeCount = random.unit() < kTwoNodesShare ? 2 : 1;
+    faults.push_back(fault);
+    at += fault.duration + secondsOf(2 * kMeanOverloadedLinkGapSeconds * random.unit());
+  }
+  return faults;
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_plan.h
+++ b/test/soak/world/fault_plan.h
@@ -42,6 +42,8 @@
   /** The node that reads the store for its zone is killed. Never generated on its own: half of the
    * capacity shortages include it. */
   kKillReader,
+  /** Packet loss on the overloaded link of one or two nodes, from the nodes to all hosts. */
+  kOverloadedLink,
   kCount,
 };
 
@@ -56,6 +58,9 @@
   Duration duration{0};
   /** Random number that selects the target and the variant of the fault. */
   uint64_t choice = 0;
+  /** For kOverloadedLink: the share of datagrams lost and the number of nodes. */
+  double lossShare = 0;
+  uint32_t nodeCount = 1;
 };
 
 /**
@@ -68,5 +73,8 @@
  * so that a seed has the same usual faults under both loads. The last one is always a capacity
  * shortage of the main service. */
 std::vector<Fault> drawHardLoad(uint64_t seed, Duration length);
+/** Like drawHardLoad(), for overloaded links, which also have their own random stream. They do not
+ * overlap each other. */
+std::vector<Fault> drawOverloadedLinks(uint64_t seed, Duration length);
 
 }  // namespace umberhold::soak
--- a/test/soak/world/soak_report.cc
+++ b/test/soak/world/soak_report.cc
@@ -63,6 +63,7 @@
   object.set("served", result.callers.served);
   object.set("failed", result.callers.failed);
   object.set("runs", result.runs);
+  object.set("lost_on_links", result.lostOnLinks);
   object.set("probes", result.probes);
   object.set("versions", result.versions);
   object.set("served_after_recovery", result.servedAfterRecovery);
@@ -126,6 +127,7 @@
   writeRow(text, "queue of the store's stand-in at most", result.maxStoreQueue);
   writeRow(text, "returns of room judged", result.recoveriesEvaluated);
   writeRow(text, "runs at hosts", result.runs);
+  writeRow(text, "lost on overloaded links", result.lostOnLinks);
   writeRow(text, "probes of the configuration", result.probes);
   writeRow(text, "versions of the configuration", result.versions);
   writeRow(text, "served after the recovery time", result.servedAfterRecovery);
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -49,6 +49,8 @@
     if (options_.load == SoakLoad::kHard) {
       const auto hard = drawHardLoad(options_.seed, end - start - calmDuration - kWindDown);
       planned_.insert(planned_.end(), hard.begin(), hard.end());
+      const auto links = drawOverloadedLinks(options_.seed, end - start - calmDuration - kWindDown);
+      planned_.insert(planned_.end(), links.begin(), links.end());
     }
     faults_.schedule(start, planned_);
     const TimePoint faultsOver = injectFaults();
@@ -113,6 +115,7 @@
       return SoakError::kNoTraffic;
     }
     result.runs = world_.runs();
+    result.lostOnLinks = world_.lostOnLinks();
     result.probes = world_.routes().probes();
     result.versions = world_.routes().version();
     result.faults = faults_.counts();
--- a/test/soak/world/soak_run.h
+++ b/test/soak/world/soak_run.h
@@ -42,6 +42,8 @@
 struct SoakResult {
   CallerCounts callers;
   uint64_t runs = 0;
+  /** Datagrams from nodes to hosts that overloaded links lost. */
+  uint64_t lostOnLinks = 0;
   uint64_t probes = 0;
   uint64_t versions = 0;
   uint64_t logLines = 0;
--- a/test/soak/world/soak_world.cc
+++ b/test/soak/world/soak_world.cc
@@ -68,6 +68,13 @@
                  (uint64_t{packet.target} << 16U) | packet.targetPort);
 }
 
+standins::FaultRule lossFrom(const std::string& node, double share) {
+  standins::FaultRule rule;
+  rule.from = node;
+  rule.dropShare = share;
+  return rule;
+}
+
 }  // namespace
 
 SoakWorld::SoakWorld(const DeploymentPlan& plan, test::StandinStore& store, uint64_t seed,
@@ -82,7 +89,8 @@
       loadWatch_({}, promises_),
       allDisturbances_(plan.bounds().settleTime),
       unplannedDisturbances_(plan.bounds().settleTime),
-      delays_(loop_) {
+      delays_(loop_),
+      overloadedLinks_(plan.bounds().settleTime) {
   const RouteTrackerOptions options =
       load_ == SoakLoad::kHard ? RouteTrackerOptions{HostFleet::kMaxFlows, kMarkerService}
                                : RouteTrackerOptions{};
@@ -281,7 +289,27 @@
              sabotageToCaller(packet));
 }
 
+void SoakWorld::overloadLink(TimePoint now, size_t node, double lossShare) {
+  const std::string& name = plan_.nodes()[node].name;
+  links_.set(lossFrom(name, lossShare));
+  overloadedLinks_.begin(name, now);
+}
+
+void SoakWorld::relieveLink(TimePoint now, size_t node) {
+  const std::string& name = plan_.nodes()[node].name;
+  links_.set(lossFrom(name, 0));
+  overloadedLinks_.end(name, now);
+}
+
+bool SoakWorld::isLostOnLink(const Endpoint& node) {
+  return links_.deliveryDelays({nodeNameOf(node), ""}, {"hosts", ""}, random_).empty();
+}
+
 void SoakWorld::onHostDatagram(size_t slot, const Endpoint& from, std::string_view bytes) {
+  if (isLostOnLink(from)) {
+    ++lostOnLinks_;
+    return;
+  }
   if (sabotageToHost(slot, from, bytes)) {
     return;
   }
@@ -360,7 +388,10 @@
   const std::string host = fleet_->slots()[*holder].host->plan().id;
   const std::string node = nodeNameOf(sender_);
   if (unplannedDisturbances_.isSettled(node, now) && unplannedDisturbances_.isSettled(host, now)) {
-    promises_.recordViolation(now, Promise::kOpenFlowsStay, node + " reset a flow at " + host);
+    const bool overloaded = !overloadedLinks_.isSettled(node, now);
+    promises_.recordViolation(
+        now, Promise::kOpenFlowsStay,
+        node + " reset a flow at " + host + (overloaded ? ", its link was overloaded" : ""));
   }
 }
 
--- a/test/soak/world/soak_world.h
+++ b/test/soak/world/soak_world.h
@@ -65,6 +65,11 @@
   void setExtraCallers(bool active);
   DisturbanceTracker& unplannedDisturbances() { return unplannedDisturbances_; }
   standins::FaultRules& fabric() { return fabric_; }
+  /** Loses a share of the node's datagrams to all hosts until relieveLink(). */
+  void overloadLink(TimePoint now, size_t node, double lossShare);
+  void relieveLink(TimePoint now, size_t node);
+  /** @return the number of datagrams lost on overloaded links. */
+  uint64_t lostOnLinks() const { return lostOnLinks_; }
   const ReadinessWatch& readiness() const { return *readiness_; }
   /** Stores the next version of the configuration. */
   void storeConfiguration(uint32_t extraRoutes);
@@ -95,6 +100,8 @@
   void addCaller(uint32_t number);
   HostHooks makeHostHooks(size_t slot);
   void onHostDatagram(size_t slot, const Endpoint& from, std::string_view bytes);
+  /** @return whether an overloaded link loses a datagram from the node to a host. */
+  bool isLostOnLink(const Endpoint& node);
   void onCallerDatagram(size_t caller, const Endpoint& from, std::string_view bytes);
   void onProbeDatagram(std::string_view bytes);
   void onHostOpening(size_t slot, const FlowName& flow, const Endpoint& node);
@@ -134,6 +141,11 @@
   standins::DatagramLoop loop_;
   standins::DelayLine delays_;
   standins::FaultRules fabric_;
+  /** Packet loss on the nodes' links to hosts. */
+  standins::FaultRules links_;
+  uint64_t lostOnLinks_ = 0;
+  /** Nodes with an overloaded link; named with a violation, excuses none. */
+  DisturbanceTracker overloadedLinks_;
   std::unique_ptr<RouteTracker> routes_;
   std::unique_ptr<HostFleet> fleet_;
   std::unique_ptr<ReadinessWatch> readiness_;
