Take a host for silent only once every node of the zone has reported since

What callers saw: by test only: idle flows, and requests that may run twice, of sound hosts reset by all nodes of a zone, after two nodes had lost packets on their own links at once; and by one node alone, whose third copy was refused although other nodes heard from the host. Silence is reported after 200 ms, answers once a second, the reader's own too, so that a verdict came before the answers of others. A report whose call was lost took its answers with it, and answers beyond 64 were dropped, so that silence stood for 3 s that had ended. Found by the survey of all resets (traced: node 0 had an answer from the host 340 ms before another node reset its flow). Change: a zone names a host only once all nodes that report have reported 500 ms after its silence began; a reader's own answers count at once; a lost report is sent again, and what does not fit waits. Tests changed: AShortSilenceNamesNobodyHoweverManyFindIt waits for the other three nodes too; CollectorRepeats... expects the answer that did not fit in the next report. Both ask for more than before.

--- a/source/common/health/observation_exchange.cc
+++ b/source/common/health/observation_exchange.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 ObservationExchange::ObservationExchange(std::string_view nodeName)
-    : sampleCollector_(hashBytes(nodeName)) {}
+    : reporter_(hashBytes(nodeName)), sampleCollector_(reporter_) {}
 
 void ObservationExchange::add(TimePoint now, const std::vector<HostSample>& samples,
                               const std::vector<HostAckState>& states) {
@@ -77,11 +77,15 @@
 
 HostReport ObservationExchange::takeReport(TimePoint now) {
   const std::lock_guard lock(mutex_);
+  if (std::exchange(awaitsUpdate_, true)) {
+    ackStateCollector_.restore();
+  }
   return takeOwnReport(now);
 }
 
 void ObservationExchange::onPeerUpdate(ZoneUpdate update) {
   const std::lock_guard lock(mutex_);
+  awaitsUpdate_ = false;
   pendingUpdate_ = std::move(update);
 }
 
@@ -96,6 +100,8 @@
 
 ZoneUpdate ObservationExchange::zoneUpdate(TimePoint now) {
   const std::lock_guard lock(mutex_);
+  // This node's own answers count at once, although it merges all its observations less often.
+  silence_.merge(now, reporter_, ackStateCollector_.take(now));
   return currentUpdate(now);
 }
 
--- a/source/common/health/observation_exchange.h
+++ b/source/common/health/observation_exchange.h
@@ -69,11 +69,14 @@
   ReportOutcome mergeReport(TimePoint now, const HostReport& report);
   ZoneUpdate currentUpdate(TimePoint now);
 
+  const uint64_t reporter_;
   SampleCollector sampleCollector_;
   AckStateCollector ackStateCollector_;
   ZoneObservations zone_;
   ZoneSilence silence_;
   std::optional<ZoneUpdate> pendingUpdate_;
+  /** A report was sent to a peer that has not been answered. */
+  bool awaitsUpdate_ = false;
   std::function<void()> notifyUrgent_;
   ReportCounters counters_{};
   /** When a peer last reported; unset if none has. */
--- a/source/common/health/zone_silence.cc
+++ b/source/common/health/zone_silence.cc
@@ -39,10 +39,20 @@
 }
 
 std::vector<HostLivenessReport> AckStateCollector::take(TimePoint now) {
-  std::vector<HostLivenessReport> report;
+  std::vector<HostAckState> states;
+  states.reserve(pending_.size());
   for (const auto& [token, state] : pending_) {
+    states.push_back(state);
+  }
+  std::stable_sort(states.begin(), states.end(),
+                   [](const HostAckState& left, const HostAckState& right) {
+                     return left.copies > right.copies;
+                   });
+  states.resize(std::min(states.size(), kMaxLivenessReports));
+  std::vector<HostLivenessReport> report;
+  for (const HostAckState& state : states) {
     HostLivenessReport& reported = report.emplace_back();
-    reported.token = token;
+    reported.token = state.token;
     reported.answeredAgoMilliseconds =
         state.answeredAt ? millisecondsSince(*state.answeredAt, now) : kNeverAnswered;
     reported.copies = state.copies;
@@ -50,19 +60,29 @@
     reported.callers.resize(std::min(reported.callers.size(), kMaxReportedCallers));
     reported.silentMilliseconds = state.copies == 0 ? 0 : millisecondsSince(state.since, now);
   }
-  std::stable_sort(report.begin(), report.end(),
-                   [](const HostLivenessReport& left, const HostLivenessReport& right) {
-                     return left.copies > right.copies;
-                   });
-  report.resize(std::min(report.size(), kMaxLivenessReports));
   std::erase_if(pending_, [now](const auto& named) {
-    return named.second.copies == 0 || now - named.second.lastCopyAt > kWindow;
+    return named.second.copies > 0 && now - named.second.lastCopyAt > kWindow;
   });
+  lastTaken_.clear();
+  for (const HostAckState& state : states) {
+    if (state.copies == 0) {
+      pending_.erase(state.token);
+      lastTaken_.push_back(state);
+    }
+  }
   return report;
 }
 
+void AckStateCollector::restore() {
+  for (const HostAckState& state : lastTaken_) {
+    pending_.try_emplace(state.token, state);
+  }
+  lastTaken_.clear();
+}
+
 void ZoneSilence::merge(TimePoint now, uint64_t reporter,
                         const std::vector<HostLivenessReport>& livenessReports) {
+  reportedAt_[reporter] = now;
   for (const HostLivenessReport& reported : livenessReports) {
     Host& host = hosts_[reported.token];
     if (reported.answeredAgoMilliseconds != kNeverAnswered) {
@@ -78,7 +98,12 @@
   }
 }
 
-std::optional<TimePoint> ZoneSilence::silentSince(const Host& host) {
+bool ZoneSilence::haveAllReportedSince(TimePoint time) const {
+  return std::all_of(reportedAt_.begin(), reportedAt_.end(),
+                     [time](const auto& reporter) { return reporter.second >= time; });
+}
+
+std::optional<TimePoint> ZoneSilence::silentSince(const Host& host) const {
   const auto counts = [&host](const Report& report) {
     return report.since > host.answeredAt + kReportDelay;
   };
@@ -99,11 +124,13 @@
   }
   const bool isSilent =
       reporters >= kMinReporters && callers.size() >= kMinCallers && copies >= kMinCopies;
-  return isSilent ? std::optional(since) : std::nullopt;
+  return isSilent && haveAllReportedSince(since + kMinSilence) ? std::optional(since)
+                                                               : std::nullopt;
 }
 
 std::vector<SilentHost> ZoneSilence::silentHosts(TimePoint now) {
   std::vector<SilentHost> silent;
+  std::erase_if(reportedAt_, [now](const auto& named) { return now - named.second > kWindow; });
   for (auto& [token, host] : hosts_) {
     std::erase_if(host.reports,
                   [now](const auto& named) { return now - named.second.at > kWindow; });
--- a/source/common/health/zone_silence.h
+++ b/source/common/health/zone_silence.h
@@ -36,9 +36,13 @@
   void add(const std::vector<HostAckState>& states);
   /** @return the states that changed since the last report, and the hosts that are still silent. */
   std::vector<HostLivenessReport> take(TimePoint now);
+  /** Reports again what take() returned last, unless it has changed: that report was lost. */
+  void restore();
 
  private:
   std::unordered_map<uint32_t, HostAckState> pending_;
+  /** What the last report removed from pending_. */
+  std::vector<HostAckState> lastTaken_;
 };
 
 /** Merges the acknowledgement states reported by the nodes of a zone. Not thread safe. */
@@ -51,6 +55,8 @@
    * @return the hosts that left data of several callers unacknowledged at two or more nodes, and
    * that acknowledged no data at any node from the first transmission of that data until at least
    * kMinSilence later. A single node that is partitioned or faulty cannot mark a host as silent.
+   * Nodes report answers less often than silence, so all nodes that reported recently must have
+   * reported since.
    */
   std::vector<SilentHost> silentHosts(TimePoint now);
 
@@ -67,9 +73,13 @@
   };
 
   /** @return when the silence began; nothing if the host may be alive. */
-  static std::optional<TimePoint> silentSince(const Host& host);
+  std::optional<TimePoint> silentSince(const Host& host) const;
+  /** @return whether all nodes that report have reported at this time or later. */
+  bool haveAllReportedSince(TimePoint time) const;
 
   std::unordered_map<uint32_t, Host> hosts_;
+  /** When each node last reported; nodes that no longer report are removed. */
+  std::unordered_map<uint64_t, TimePoint> reportedAt_;
 };
 
 }  // namespace umberhold
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -18,6 +18,8 @@
  */
 constexpr uint32_t kMinCopiesOfSilentHost = 3;
 constexpr double kPercent = 100.0;
+/** Without updates of the zone for this time, this node decides alone which hosts are silent. */
+constexpr Duration kZoneUpdateLifetime = std::chrono::seconds(3);
 /**
  * Maximum number of samples kept for other nodes; nothing consumes them on a node that does not
  * report.
@@ -465,6 +467,9 @@
   recordUnanswered(now, host);
   silenceDetector_.recordCopy(now, host, progress, packet.key.caller.address);
   queueAckState(host);
+  if (hasZoneUpdates(now)) {
+    return false;  // The zone knows which hosts other nodes hear from.
+  }
   resetFlowsOf(now, silenceDetector_.onCopy(now, host));
   return progress.copies >= kMinCopiesOfSilentHost &&
          host.silence.copies() >= kMinCopiesOfSilentHost &&
@@ -494,7 +499,12 @@
   return states;
 }
 
+bool TokenDirector::hasZoneUpdates(TimePoint now) const {
+  return lastZoneUpdateAt_ && now - *lastZoneUpdateAt_ <= kZoneUpdateLifetime;
+}
+
 void TokenDirector::applySilentHosts(TimePoint now, const std::vector<SilentHost>& silentHosts) {
+  lastZoneUpdateAt_ = now;
   resetFlowsOf(now, silenceDetector_.onZoneSilent(now, silentHosts));
 }
 
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -261,6 +261,8 @@
   void recordSample(TimePoint now, TokenHost& host, const HostSample& sample);
   /** @return whether requests to the pool rarely wait for slots; false if the slots are unknown. */
   bool hasFreeSlots(TimePoint now, const TokenPool& pool) const;
+  /** @return whether the nodes of the zone currently decide together which hosts are silent. */
+  bool hasZoneUpdates(TimePoint now) const;
   void queueAckState(TokenHost& host);
   /** @param tokens tokens of hosts that count as dead. */
   void resetFlowsOf(TimePoint now, const std::set<uint32_t>& tokens);
@@ -307,6 +309,7 @@
   RequestTimer timer_;
   SilenceDetector silenceDetector_{hosts_};
   SilentHostEvidence silentHostEvidence_;
+  std::optional<TimePoint> lastZoneUpdateAt_;
   DeadHostFlows deadHostFlows_;
   std::vector<HostSample> samples_;
   /** Tokens of the hosts whose acknowledgement state changed; each once. */
--- a/test/common/health/zone_silence_test.cc
+++ b/test/common/health/zone_silence_test.cc
@@ -1,6 +1,9 @@
 /** @file Detection of hosts that are silent to all nodes of a zone. */
 #include "common/health/zone_silence.h"
 
+#include "common/health/observation_exchange.h"
+#include "common/wire/codec.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace umberhold {
@@ -73,6 +76,11 @@
   reportSilence(1, 11, 2, 799);
   CHECK_TRUE(zone.silentHosts(now).empty());
   reportSilence(2, 12, 2, 799);
+  // The host may have answered the others since their last reports.
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  for (uint64_t reporter = 3; reporter <= 5; ++reporter) {
+    reportSilence(reporter, 10 + static_cast<uint32_t>(reporter), 2, 799);
+  }
   LONGS_EQUAL(1, zone.silentHosts(now).size());
 }
 
@@ -120,6 +128,68 @@
   LONGS_EQUAL(kMaxSilentHosts, zone.silentHosts(now).size());
 }
 
+/** A node reports answers only once a second, so its last report may be older than they are. */
+TEST(ZoneSilence, NamesNoHostThatANodeMayHaveHeardSinceItsLastReport) {
+  reportAnswer(3, 0);
+  now += milliseconds(850);
+  reportSilence(1, 11, 2, 650);
+  reportSilence(2, 12, 2, 600);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  now += milliseconds(150);
+  reportAnswer(3, 20);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+}
+
+/** A reader merges its own answers only once a second. */
+TEST(ZoneSilence, TheReadersOwnAnswerEndsASilenceBeforeItIsNamed) {
+  ObservationExchange reader("a-1");
+  uint64_t sequence = 0;
+  const auto report = [&](uint64_t reporter, std::vector<HostLivenessReport> hosts) {
+    reader.merge(now, valueOf(encodeHostReport({reporter, ++sequence, {}, std::move(hosts)})));
+  };
+  report(1, {});
+  reader.add(now, {}, {});
+  now += milliseconds(700);
+  reader.add(now, {}, {{kHost, now, 0, {}, {}, {}}});
+  now += milliseconds(50);
+  report(1, {{kHost, kNeverAnswered, 2, {11}, 700}});
+  report(2, {{kHost, kNeverAnswered, 2, {12}, 650}});
+  CHECK_TRUE(reader.zoneUpdate(now).silentHosts.empty());
+}
+
+/** The reader keeps a report of silence for 3 s, unless a later one withdraws it. */
+TEST(ZoneSilence, AnswerIsReportedAgainIfTheReportWasLost) {
+  ObservationExchange node("c-9");
+  node.add(now, {}, {{kHost, std::nullopt, 2, {11, 12}, now - milliseconds(600), now}});
+  LONGS_EQUAL(1, node.takeReport(now).livenessReports.size());
+  node.onPeerUpdate({});
+  now += milliseconds(200);
+  node.add(now, {}, {{kHost, now, 0, {}, {}, {}}});
+  LONGS_EQUAL(1, node.takeReport(now).livenessReports.size());
+  // No onPeerUpdate(): the call timed out on a full link.
+  now += seconds(1);
+  const HostReport next = node.takeReport(now);
+  LONGS_EQUAL(1, next.livenessReports.size());
+  LONGS_EQUAL(0, next.livenessReports[0].copies);
+}
+
+TEST(ZoneSilence, CollectorWithdrawsLaterWhatDidNotFitIntoAReport) {
+  AckStateCollector collector;
+  std::vector<HostAckState> states;
+  for (uint32_t token = 1; token <= kMaxLivenessReports + 1; ++token) {
+    states.push_back({token, std::nullopt, 1, {11}, now, now});
+  }
+  collector.add(states);
+  collector.take(now);
+  collector.take(now);
+  for (HostAckState& state : states) {
+    state = {state.token, now, 0, {}, {}, {}};
+  }
+  collector.add(states);
+  LONGS_EQUAL(kMaxLivenessReports, collector.take(now).size());
+  LONGS_EQUAL(1, collector.take(now).size());
+}
+
 TEST(ZoneSilence, CollectorRepeatsSilentHostsFirstAndReportsAnswersOnce) {
   AckStateCollector collector;
   std::vector<HostAckState> states;
@@ -136,6 +206,8 @@
   LONGS_EQUAL(kNeverAnswered, first[0].answeredAgoMilliseconds);
   LONGS_EQUAL(2, first[0].callers.size());
   LONGS_EQUAL(100, first[1].answeredAgoMilliseconds);
+  // The answer that did not fit, and the silent host again.
+  LONGS_EQUAL(2, collector.take(now).size());
   LONGS_EQUAL(1, collector.take(now).size());
   now += seconds(4);
   collector.take(now);  // The last retransmission is too old to be reported again.
--- a/test/common/token/living_hosts_property.cc
+++ b/test/common/token/living_hosts_property.cc
@@ -4,6 +4,7 @@
  */
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -93,11 +94,20 @@
         node->onCaughtUp(now_);
         applyResets(node->takeResets());
       }
-      if (step % kShareIntervalSteps == 0) {
+      if (pollsAsFollowers_) {
+        poll();
+      } else if (step % kShareIntervalSteps == 0) {
         share();
       }
     }
   }
+  /** Lets nodes report as ObjectStoreAdapter does, instead of all at once every 300 ms. */
+  void pollAsFollowers() {
+    pollsAsFollowers_ = true;
+    for (uint32_t index = 0; index < kNodes; ++index) {
+      nextPoll_[index] = now_ + milliseconds(random_.below(1000));
+    }
+  }
   void kill(uint32_t host) { dead_.insert(flowTokenOf(host)); }
   /** Drops all packets from the node to hosts. */
   void partitionNode(uint32_t node) { partitionedNode_ = node; }
@@ -253,8 +263,38 @@
     }
   }
 
+  /**
+   * A node polls the reader, node 0, once a second, and 200 ms after its last poll if a host left
+   * data unacknowledged; the reader merges its own state once a second or after 100 ms.
+   */
+  void poll() {
+    for (uint32_t index = 0; index < kNodes; ++index) {
+      const std::vector<HostAckState> states = nodes_[index]->takeAckStates();
+      collectors_[index].add(states);
+      const bool urgent = std::any_of(states.begin(), states.end(),
+                                      [](const HostAckState& state) { return state.copies > 0; });
+      const milliseconds interval(index == 0 ? 100 : 200);
+      nextPoll_[index] =
+          urgent ? std::min(nextPoll_[index], std::max(now_, lastPoll_[index] + interval))
+                 : nextPoll_[index];
+      if (now_ < nextPoll_[index]) {
+        continue;
+      }
+      lastPoll_[index] = now_;
+      silence_.merge(now_, index, collectors_[index].take(now_));
+      const std::vector<SilentHost> silent = silence_.silentHosts(now_);
+      nodes_[index]->applySilentHosts(now_, silent);
+      nextPoll_[index] =
+          now_ + (silent.empty() || index == 0 ? milliseconds(900 + random_.below(200))
+                                               : milliseconds(300));
+    }
+  }
+
   RandomSource random_;
   TimePoint now_{seconds(1000)};
+  bool pollsAsFollowers_ = false;
+  std::map<uint32_t, TimePoint> nextPoll_;
+  std::map<uint32_t, TimePoint> lastPoll_;
   std::vector<std::unique_ptr<TokenDirector>> nodes_;
   std::map<uint32_t, AckStateCollector> collectors_;
   ZoneSilence silence_;
@@ -281,8 +321,11 @@
 }
 
 /** @param nodes number of nodes whose links lose packets at the same time. */
-void overloadLinks(size_t nodes) {
+void overloadLinks(size_t nodes, bool pollsAsFollowers = false) {
   Zone zone(*rc::gen::arbitrary<uint64_t>());
+  if (pollsAsFollowers) {
+    zone.pollAsFollowers();
+  }
   zone.run(200);
   const auto overloaded =
       *rc::gen::container<std::set<uint32_t>>(nodes, rc::gen::inRange<uint32_t>(0, kNodes));
@@ -337,6 +380,11 @@
   CHECK_TRUE(rc::check("two overloaded links reset no flow", [] { overloadLinks(2); }));
 }
 
+/** Guards against zone verdicts before other nodes have reported that the host answers them. */
+TEST(LivingHosts, OverloadedLinksOfNodesThatPollOnceASecondResetNoFlow) {
+  CHECK_TRUE(rc::check("two overloaded links reset no flow", [] { overloadLinks(2, true); }));
+}
+
 /** Guards against aggregated zone state that is older than what this node has observed since. */
 TEST(LivingHosts, ALongPauseOfAllHostsResetsNoFlow) {
   CHECK_TRUE(rc::check("a long pause resets no flow", [] { pauseAllHosts(500, 1900); }));
--- a/test/common/token/token_director_silence_test.cc
+++ b/test/common/token/token_director_silence_test.cc
@@ -73,6 +73,21 @@
   CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, token, 7)));
 }
 
+TEST(TokenDirectorSilence, ANodeAloneSilencesNobodyWhileItsZoneShares) {
+  serveRepeatable();
+  const uint32_t token = flowTokenOf(1);
+  for (uint32_t copies = 1; copies <= 5; ++copies) {
+    director.applySilentHosts(now, {});
+    passWithout(token, milliseconds(400));
+    CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, token, 7)));
+    CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(2, token, 7)));
+    CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(3, token, 7)));
+  }
+  CHECK_FALSE(director.hasResets());
+  passWithout(token, seconds(3));
+  CHECK_TRUE(std::holds_alternative<RefuseFlow>(data(1, token, 7)));
+}
+
 TEST(TokenDirectorSilence, LeavesNonRepeatableRequestsToTheirHost) {
   const uint32_t token = std::get<ForwardToHost>(open(1)).token;
   CHECK_TRUE(std::holds_alternative<ForwardToHost>(sendCopies(1, token, 6)));
