--- a/test/common/token/token_director_waiting_test.cc
+++ b/test/common/token/token_director_waiting_test.cc
@@ -111,6 +111,40 @@
   }
 };
 
+/** Openings lost on the node's own link say nothing about the room at their hosts. */
+TEST(TokenDirectorWaiting, OpeningsLostOnTheOwnLinkRefuseNoLaterOnes) {
+  HostPool pool{"dispatch", {}};
+  for (uint64_t number = 1; number <= 21; ++number) {
+    HostSpec host;
+    host.name = "h-" + std::to_string(number);
+    host.endpoint = {static_cast<uint32_t>(number), 8080};
+    host.zone = number <= 20 ? "bole" : "cmc";
+    host.incarnation = number;
+    host.slots = 1;
+    pool.hosts.push_back(host);
+  }
+  director.setPool(now, pool);
+  for (uint64_t flow = 1; flow <= 3; ++flow) {
+    openAtHost(kUsual, flow);
+  }
+  now += milliseconds(160);
+  director.onCaughtUp(now);
+  size_t refused = 0;
+  for (uint64_t flow = 101; flow <= 120; ++flow) {
+    const FlowDecision decision = open(kUsual, flow);
+    if (const auto* forward = std::get_if<ForwardToHost>(&decision)) {
+      now += milliseconds(1);
+      acknowledge(kUsual, flow, forward->token, 1);
+    }
+  }
+  now += milliseconds(250);
+  for (const std::string& bytes : director.takeReleased(now)) {
+    const uint64_t flow = std::stoull(bytes.substr(bytes.find(' ')));
+    refused += std::holds_alternative<RefuseFlow>(open(kUsual, flow)) ? 1 : 0;
+  }
+  LONGS_EQUAL(0, refused);
+}
+
 // Requests on open flows cannot be held back, so they reduce the limit for new flows.
 TEST(TokenDirectorWaiting, OpenFlowsReduceTheLimitOfTheLowerPriorityService) {
   addService(kUsual, 2, 500);
