Let a few nodes of a zone name no silent host, and keep what a lost report held

Nodes with full links lose contact with their reader and ask the next node, which hears only them; its verdict counted for itself and its followers. And a lost report was not sent again where the node was itself asked by others meanwhile, so that a silence that had ended still counted. Cause: waits for all nodes that report, and to a stand-in only the overloaded ones do; taking the own states for an answer replaced what restore() was to send again, and took it from the node's own reader. Change: a verdict needs recent reports of half of the zone's nodes, or of half of those that one reader serves (32); a node's own states are looked at for an answer, not taken; the unconfirmed report is kept by the exchange.

--- a/source/common/health/observation_exchange.cc
+++ b/source/common/health/observation_exchange.cc
@@ -44,6 +44,11 @@
   }
 }
 
+void ObservationExchange::setZoneNodes(uint32_t nodes) {
+  const std::lock_guard lock(mutex_);
+  silence_.setZoneNodes(nodes);
+}
+
 void ObservationExchange::mergeOwn(TimePoint now) {
   mergedOwnAt_ = now;
   mergeReport(now, takeOwnReport(now));
@@ -77,15 +82,15 @@
 
 HostReport ObservationExchange::takeReport(TimePoint now) {
   const std::lock_guard lock(mutex_);
-  if (std::exchange(awaitsUpdate_, true)) {
-    ackStateCollector_.restore();
-  }
-  return takeOwnReport(now);
+  ackStateCollector_.restore(unconfirmed_);
+  HostReport report = takeOwnReport(now);
+  unconfirmed_ = ackStateCollector_.lastTaken();
+  return report;
 }
 
 void ObservationExchange::onPeerUpdate(ZoneUpdate update) {
   const std::lock_guard lock(mutex_);
-  awaitsUpdate_ = false;
+  unconfirmed_.clear();
   pendingUpdate_ = std::move(update);
 }
 
@@ -100,8 +105,9 @@
 
 ZoneUpdate ObservationExchange::zoneUpdate(TimePoint now) {
   const std::lock_guard lock(mutex_);
-  // This node's own answers count at once, although it merges all its observations less often.
-  silence_.merge(now, reporter_, ackStateCollector_.take(now));
+  // This node's own answers count at once, although it merges all its observations less often. They
+  // are still reported to the node that this one may follow.
+  silence_.merge(now, reporter_, ackStateCollector_.peek(now));
   return currentUpdate(now);
 }
 
--- a/source/common/health/observation_exchange.h
+++ b/source/common/health/observation_exchange.h
@@ -38,6 +38,8 @@
   explicit ObservationExchange(std::string_view nodeName);
 
   // Called on the packet thread.
+  /** Sets the number of nodes in this node's zone, including this node. */
+  void setZoneNodes(uint32_t nodes);
   /** Adds the samples and acknowledgement states of this node. */
   void add(TimePoint now, const std::vector<HostSample>& samples,
            const std::vector<HostAckState>& states);
@@ -75,8 +77,8 @@
   ZoneObservations zone_;
   ZoneSilence silence_;
   std::optional<ZoneUpdate> pendingUpdate_;
-  /** A report was sent to a peer that has not been answered. */
-  bool awaitsUpdate_ = false;
+  /** What the last report to a peer contained, until the peer has answered it. */
+  std::vector<HostAckState> unconfirmed_;
   std::function<void()> notifyUrgent_;
   ReportCounters counters_{};
   /** When a peer last reported; unset if none has. */
--- a/source/common/health/zone_silence.cc
+++ b/source/common/health/zone_silence.cc
@@ -9,6 +9,8 @@
 /** Older retransmissions and reports are no evidence about the current state of the host. */
 constexpr Duration kWindow = std::chrono::seconds(3);
 constexpr size_t kMinReporters = 2;
+/** One in so many nodes of a zone reads the store for the others; see RosterOptions. */
+constexpr uint32_t kMaxNodesPerReader = 32;
 /** A single caller may have lost its own path. */
 constexpr size_t kMinCallers = 2;
 /**
@@ -27,6 +29,18 @@
   return static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 }
 
+HostLivenessReport reportOf(const HostAckState& state, TimePoint now) {
+  HostLivenessReport reported;
+  reported.token = state.token;
+  reported.answeredAgoMilliseconds =
+      state.answeredAt ? millisecondsSince(*state.answeredAt, now) : kNeverAnswered;
+  reported.copies = state.copies;
+  reported.callers = state.callers;
+  reported.callers.resize(std::min(reported.callers.size(), kMaxReportedCallers));
+  reported.silentMilliseconds = state.copies == 0 ? 0 : millisecondsSince(state.since, now);
+  return reported;
+}
+
 }  // namespace
 
 void AckStateCollector::add(const std::vector<HostAckState>& states) {
@@ -38,7 +52,7 @@
   }
 }
 
-std::vector<HostLivenessReport> AckStateCollector::take(TimePoint now) {
+std::vector<HostAckState> AckStateCollector::select() const {
   std::vector<HostAckState> states;
   states.reserve(pending_.size());
   for (const auto& [token, state] : pending_) {
@@ -49,17 +63,20 @@
                      return left.copies > right.copies;
                    });
   states.resize(std::min(states.size(), kMaxLivenessReports));
+  return states;
+}
+
+std::vector<HostLivenessReport> AckStateCollector::peek(TimePoint now) const {
   std::vector<HostLivenessReport> report;
-  for (const HostAckState& state : states) {
-    HostLivenessReport& reported = report.emplace_back();
-    reported.token = state.token;
-    reported.answeredAgoMilliseconds =
-        state.answeredAt ? millisecondsSince(*state.answeredAt, now) : kNeverAnswered;
-    reported.copies = state.copies;
-    reported.callers = state.callers;
-    reported.callers.resize(std::min(reported.callers.size(), kMaxReportedCallers));
-    reported.silentMilliseconds = state.copies == 0 ? 0 : millisecondsSince(state.since, now);
+  for (const HostAckState& state : select()) {
+    report.push_back(reportOf(state, now));
   }
+  return report;
+}
+
+std::vector<HostLivenessReport> AckStateCollector::take(TimePoint now) {
+  const std::vector<HostAckState> states = select();
+  std::vector<HostLivenessReport> report = peek(now);
   std::erase_if(pending_, [now](const auto& named) {
     return named.second.copies > 0 && now - named.second.lastCopyAt > kWindow;
   });
@@ -73,11 +90,10 @@
   return report;
 }
 
-void AckStateCollector::restore() {
-  for (const HostAckState& state : lastTaken_) {
+void AckStateCollector::restore(const std::vector<HostAckState>& states) {
+  for (const HostAckState& state : states) {
     pending_.try_emplace(state.token, state);
   }
-  lastTaken_.clear();
 }
 
 void ZoneSilence::merge(TimePoint now, uint64_t reporter,
@@ -98,6 +114,10 @@
   }
 }
 
+void ZoneSilence::setZoneNodes(uint32_t nodes) {
+  minNodes_ = std::min(nodes, kMaxNodesPerReader) / 2;
+}
+
 bool ZoneSilence::haveAllReportedSince(TimePoint time) const {
   return std::all_of(reportedAt_.begin(), reportedAt_.end(),
                      [time](const auto& reporter) { return reporter.second >= time; });
@@ -124,8 +144,9 @@
   }
   const bool isSilent =
       reporters >= kMinReporters && callers.size() >= kMinCallers && copies >= kMinCopies;
-  return isSilent && haveAllReportedSince(since + kMinSilence) ? std::optional(since)
-                                                               : std::nullopt;
+  return isSilent && reportedAt_.size() >= minNodes_ && haveAllReportedSince(since + kMinSilence)
+             ? std::optional(since)
+             : std::nullopt;
 }
 
 std::vector<SilentHost> ZoneSilence::silentHosts(TimePoint now) {
--- a/source/common/health/zone_silence.h
+++ b/source/common/health/zone_silence.h
@@ -36,10 +36,17 @@
   void add(const std::vector<HostAckState>& states);
   /** @return the states that changed since the last report, and the hosts that are still silent. */
   std::vector<HostLivenessReport> take(TimePoint now);
-  /** Reports again what take() returned last, unless it has changed: that report was lost. */
-  void restore();
+  /** @return what take() would return; it is reported again. */
+  std::vector<HostLivenessReport> peek(TimePoint now) const;
+  /** @return the states that the last take() reported for the last time. */
+  const std::vector<HostAckState>& lastTaken() const { return lastTaken_; }
+  /** Reports these states again unless they have changed: their report was lost. */
+  void restore(const std::vector<HostAckState>& states);
 
  private:
+  /** @return the states to report now, unacknowledged ones first. */
+  std::vector<HostAckState> select() const;
+
   std::unordered_map<uint32_t, HostAckState> pending_;
   /** What the last report removed from pending_. */
   std::vector<HostAckState> lastTaken_;
@@ -48,6 +55,11 @@
 /** Merges the acknowledgement states reported by the nodes of a zone. Not thread safe. */
 class ZoneSilence {
  public:
+  /**
+   * Sets the number of nodes in the zone. A node that only a few nodes follow, such as those that
+   * lost contact with their reader, does not know which hosts the others hear from; it names none.
+   */
+  void setZoneNodes(uint32_t nodes);
   /** @param reporter identifies the node within the zone. */
   void merge(TimePoint now, uint64_t reporter,
              const std::vector<HostLivenessReport>& livenessReports);
@@ -80,6 +92,8 @@
   std::unordered_map<uint32_t, Host> hosts_;
   /** When each node last reported; nodes that no longer report are removed. */
   std::unordered_map<uint64_t, TimePoint> reportedAt_;
+  /** Minimum number of nodes that must have reported recently. */
+  size_t minNodes_ = 0;
 };
 
 }  // namespace umberhold
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -209,7 +209,11 @@
   void applyUpdate(const CatalogChanges& update) {
     const TimePoint now = steadyNow();
     if (hooks.storeStatus) {
-      director.setZoneNodes(hooks.storeStatus().zoneNodes);
+      const uint32_t zoneNodes = hooks.storeStatus().zoneNodes;
+      director.setZoneNodes(zoneNodes);
+      if (hooks.observations != nullptr) {
+        hooks.observations->setZoneNodes(zoneNodes);
+      }
     }
     director.setWallClock({now, unixMilliseconds()});
     for (const CatalogChange& change : update.changes) {
--- a/test/common/health/zone_silence_test.cc
+++ b/test/common/health/zone_silence_test.cc
@@ -128,6 +128,16 @@
   LONGS_EQUAL(kMaxSilentHosts, zone.silentHosts(now).size());
 }
 
+/** Nodes that lost contact with their reader ask another node, which hears only them. */
+TEST(ZoneSilence, AFewNodesOfAZoneNameNobody) {
+  zone.setZoneNodes(6);
+  reportSilence(1, 11, 2, 600);
+  reportSilence(2, 12, 2, 600);
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  zone.merge(now, 3, {});
+  LONGS_EQUAL(1, zone.silentHosts(now).size());
+}
+
 /** A node reports answers only once a second, so its last report may be older than they are. */
 TEST(ZoneSilence, NamesNoHostThatANodeMayHaveHeardSinceItsLastReport) {
   reportAnswer(3, 0);
@@ -173,6 +183,15 @@
   LONGS_EQUAL(0, next.livenessReports[0].copies);
 }
 
+TEST(ZoneSilence, AnswersToOtherNodesDoNotReplaceALostReport) {
+  ObservationExchange node("c-9");
+  node.add(now, {}, {{kHost, now, 0, {}, {}, {}}});
+  LONGS_EQUAL(1, node.takeReport(now).livenessReports.size());
+  // The call was lost; meanwhile another node asks this one.
+  node.zoneUpdate(now);
+  LONGS_EQUAL(1, node.takeReport(now).livenessReports.size());
+}
+
 TEST(ZoneSilence, CollectorWithdrawsLaterWhatDidNotFitIntoAReport) {
   AckStateCollector collector;
   std::vector<HostAckState> states;
--- a/test/common/token/living_hosts_property.cc
+++ b/test/common/token/living_hosts_property.cc
@@ -51,6 +51,7 @@
 class Zone {
  public:
   explicit Zone(uint64_t seed) : random_(seed) {
+    silence_.setZoneNodes(kNodes);
     HostPool pool{"dispatch", {}};
     for (uint32_t number = 1; number <= kHosts; ++number) {
       HostSpec host;
--- a/test/common/token/silence_detector_test.cc
+++ b/test/common/token/silence_detector_test.cc
@@ -141,10 +141,20 @@
   detector.onAnswered(now, flowTokenOf(2), now);
   constexpr uint32_t kCopies = 2;
   detector.onAnswered(now, flowTokenOf(3), sentAt + milliseconds(100), kCopies);
+  detector.onAnswered(now, flowTokenOf(2), now);
   CHECK_TRUE(detector.onCopy(now, host(1)).empty());
   CHECK_TRUE(detector.onZoneSilent(now, {{flowTokenOf(4), 900}}).empty());
 }
 
+TEST(SilenceDetector, DataOvertakenAtALiveHostCountsAsLost) {
+  const TimePoint sentAt = now;
+  fallSilent(1, milliseconds(900));
+  host(3).silence.onUnprovenCopy(sentAt + milliseconds(100));
+  detector.onAnswered(now, flowTokenOf(3), sentAt + milliseconds(700));
+  detector.onAnswered(now, flowTokenOf(2), now);
+  CHECK_TRUE(detector.onCopy(now, host(1)).empty());
+}
+
 TEST(SilenceDetector, CountsACopyOnlyIfOthersAnsweredBeforeAndAfterThePreviousOne) {
   const TimePoint sentAt = now;
   const PacketProgress copy{2, sentAt, sentAt};
