--- a/source/common/health/zone_silence.cc
+++ b/source/common/health/zone_silence.cc
@@ -115,7 +115,7 @@
 }
 
 void ZoneSilence::setZoneNodes(uint32_t nodes) {
-  minNodes_ = std::min(nodes, kMaxNodesPerReader) / 2;
+  minNodes_ = std::min(nodes, kMaxNodesPerReader) / 2 + 1;
 }
 
 bool ZoneSilence::haveAllReportedSince(TimePoint time) const {
--- a/test/common/health/zone_silence_test.cc
+++ b/test/common/health/zone_silence_test.cc
@@ -135,6 +135,8 @@
   reportSilence(2, 12, 2, 600);
   CHECK_TRUE(zone.silentHosts(now).empty());
   zone.merge(now, 3, {});
+  CHECK_TRUE(zone.silentHosts(now).empty());
+  zone.merge(now, 4, {});
   LONGS_EQUAL(1, zone.silentHosts(now).size());
 }
 
