review: hosts that leave together keep getting new flows, with no fault at all

Sought: the grace of case 3 without an outage of the store, since hosts that vanish together have one as well; a case with less disturbance says more.

--- a/review/world/parts.h
+++ b/review/world/parts.h
@@ -15,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -430,7 +431,7 @@
       for (int host = 0; host < count(); ++host) {
         ssize_t size;
         while ((size = recv(sockets_[host], buffer, sizeof buffer, 0)) > 0) {
-          if (host == endedHost) {
+          if (ended[host]) {
             continue;  // nothing is there any more
           }
           take(host, buffer, static_cast<size_t>(size));
@@ -449,8 +450,8 @@
     }
     return -1;
   }
-  /** A host that has ended: it takes and says nothing. */
-  std::atomic<int> endedHost{-1};
+  /** Whether a host has ended: it then takes and says nothing. */
+  std::array<std::atomic<bool>, 64> ended{};
   std::atomic<uint64_t> resets{0}, requests{0};
   std::atomic<bool> stop{false};
 
@@ -546,7 +547,7 @@
     for (; !work_.empty() && work_.front().at <= nowMs(); work_.pop_front()) {
       const Work& work = work_.front();
       const auto found = flows_[work.host].find(key(work.request.src, work.request.sport));
-      if (work.host == endedHost || found == flows_[work.host].end()) {
+      if (ended[work.host] || found == flows_[work.host].end()) {
         continue;
       }
       HostFlow& flow = found->second;
