--- a/review/2/world.cc
+++ b/review/2/world.cc
@@ -39,7 +39,7 @@
   explicit Callers(Hosts& hosts) : hosts_(hosts) {}
   bool open() {
     for (int caller = 0; caller < kCallers; ++caller) {
-      sockets_[caller] = openUdp(callerIp(caller), kDataPort);
+      sockets_[caller] = openUdp(callerIp(caller), dataPort);
       ports_[caller] = 20000;
       if (sockets_[caller] < 0) {
         return false;
@@ -108,7 +108,7 @@
     packet.sport = flow.port;
     packet.dport = kRoutePort;
     packet.src = number(callerIp(flow.caller));
-    packet.dst = number(kRouteIp);
+    packet.dst = number(routeIp());
     return packet;
   }
   void transmitSyn(Flow& flow) {
@@ -116,7 +116,7 @@
     packet.flags = kSyn;
     packet.echo = 0;
     packet.ack = static_cast<uint32_t>(flow.copies);  // copies are counted in `ack`
-    sendTo(sockets_[flow.caller], nodeIp(flow.node), kDataPort, encode(packet));
+    sendTo(sockets_[flow.caller], nodeIp(flow.node), dataPort, encode(packet));
     copiesOfOpenings += flow.copies > 0 ? 1 : 0;
     static constexpr int kWaits[] = {200, 400, 800};
     flow.nextAt = nowMs() + kWaits[flow.copies++];
@@ -125,7 +125,7 @@
     Packet packet = base(flow);
     packet.flags = kAck;
     packet.data = flow.request;
-    sendTo(sockets_[flow.caller], nodeIp(flow.node), kDataPort, encode(packet));
+    sendTo(sockets_[flow.caller], nodeIp(flow.node), dataPort, encode(packet));
     flow.lastAt = nowMs();
     flow.nextAt = flow.lastAt + flow.wait;
     flow.wait = std::min(flow.wait * 2, 1600);
@@ -204,7 +204,7 @@
     }
     Packet acknowledgement = base(flow);
     acknowledgement.flags = kAck;
-    sendTo(sockets_[flow.caller], nodeIp(flow.node), kDataPort, encode(acknowledgement));
+    sendTo(sockets_[flow.caller], nodeIp(flow.node), dataPort, encode(acknowledgement));
     if (flow.early && flow.requests > 1) {
       record("early flow: caller %s port %u at host %d is answered", callerIp(caller).c_str(),
              flow.port, flow.host);
@@ -268,19 +268,12 @@
   Hosts hosts(kHosts);
   hosts.workMs = kWork;
   Callers callers(hosts);
-  // A subnet of the loopback range on which all ports are free.
-  bool found = false;
-  for (int tries = 0; tries < 20 && !found; ++tries) {
-    const unsigned pick = static_cast<unsigned>(getpid()) * 7 + static_cast<unsigned>(tries) * 101;
-    subnet = "127." + std::to_string(20 + pick % 200) + "." + std::to_string(pick / 200 % 250) + ".";
-    found = store.listen() && hosts.open() && callers.open();
-  }
-  if (!found) {
+  if (!findAddresses(kNodes, store, hosts, callers)) {
     cannotRun("no free addresses");
   }
   store.create("config", "main",
                "{\"version\":7,\"routes\":[{\"name\":\"r-live\",\"host\":\"" +
-                   std::string(kRouteIp) + "\",\"path_prefix\":\"/" + std::to_string(kRoutePort) +
+                   routeIp() + "\",\"path_prefix\":\"/" + std::to_string(kRoutePort) +
                    "/\",\"kind\":\"unsafe\",\"timeout_ms\":" + std::to_string(kDeadline) +
                    ",\"target_latency_ms\":120,\"priority\":2,\"service\":\"fleet\","
                    "\"max_attempts\":2}],\"services\":[{\"name\":\"fleet\",\"health_path\":"
@@ -289,7 +282,7 @@
   for (int host = 0; host < kHosts; ++host) {
     store.create("servers", hostId(host),
                  "{\"service\":\"fleet\",\"address\":\"" + hostIp(host) + ":" +
-                     std::to_string(kHostPort) +
+                     std::to_string(hostPort) +
                      "\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
                      "\"cold_remaining_ms\":0,\"sequence\":1}");
   }
@@ -343,7 +336,7 @@
   const uint64_t copiesBefore = callers.copiesOfOpenings;
   if (trouble) {
     const std::string entry = "{\"service\":\"fleet\",\"address\":\"" + hostIp(0) + ":" +
-                              std::to_string(kHostPort) +
+                              std::to_string(hostPort) +
                               "\",\"zone\":\"z-a\",\"state\":\"ready\"}";
     store.create("servers", "i-0000beef", entry);
     record("another writer adds the entry i-0000beef: %s", entry.c_str());
--- a/review/world/parts.h
+++ b/review/world/parts.h
@@ -40,8 +40,8 @@
 namespace {
 
 // ---- the deployment -----------------------------------------------------------------------------
-constexpr uint16_t kDataPort = 8172, kReadyPort = 8167, kControlPort = 8166, kHostPort = 8080,
-                   kStorePort = 8169, kMetricsPort = 9464;
+// Chosen at the start by findAddresses().
+uint16_t dataPort = 0, readyPort = 0, controlPort = 0, hostPort = 0, storePort = 0, metricsPort = 0;
 // Bounds as on the pages of the small deployments, milliseconds.
 constexpr int kContact = 4000, kPropagation = 3000, kDrain = 3000, kIdleTimeout = 15000,
               kMaxFlow = 60000, kDeadline = 1200, kHistory = 20000;
@@ -71,7 +71,9 @@
 std::string hostIp(int host) { return ip(50 + host); }
 std::string callerIp(int caller) { return ip(100 + caller); }
 std::string storeIp() { return ip(1); }
-constexpr const char* kRouteIp = "198.18.0.1";  // only ever a value in packet heads
+// Routes: only ever values in packet heads and in the configuration, nothing is there.
+std::string routeIp() { return ip(200); }
+[[maybe_unused]] std::string secondRouteIp() { return ip(201); }
 constexpr uint16_t kRoutePort = 8443;
 std::string hostId(int host) {
   char text[32];
@@ -201,7 +203,7 @@
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const sockaddr_in local = address(storeIp(), kStorePort);
+    const sockaddr_in local = address(storeIp(), storePort);
     if (bind(listener_, reinterpret_cast<const sockaddr*>(&local), sizeof local) != 0 ||
         ::listen(listener_, 256) != 0) {
       return false;
@@ -412,7 +414,7 @@
 
   bool open() {
     for (int host = 0; host < count(); ++host) {
-      sockets_[host] = openUdp(hostIp(host), kHostPort);
+      sockets_[host] = openUdp(hostIp(host), hostPort);
       if (sockets_[host] < 0) {
         return false;
       }
@@ -471,7 +473,7 @@
     packet.dst = to.src;
     packet.data = data;
     in_addr caller{htonl(to.src)};
-    sendTo(sockets_[host], inet_ntoa(caller), kDataPort, encode(packet));
+    sendTo(sockets_[host], inet_ntoa(caller), dataPort, encode(packet));
   }
   void take(int host, const char* bytes, size_t size) {
     Packet packet;
@@ -581,15 +583,15 @@
   const std::string settings = folder + "/" + name + ".toml";
   std::ofstream file(settings);
   file << "node = \"" << name << "\"\nregion = \"r\"\nzone = \"z-a\"\n"
-       << "data = \"" << nodeIp(node) << ":" << kDataPort << "\"\n"
-       << "readiness = \"" << nodeIp(node) << ":" << kReadyPort << "\"\n"
+       << "data = \"" << nodeIp(node) << ":" << dataPort << "\"\n"
+       << "readiness = \"" << nodeIp(node) << ":" << readyPort << "\"\n"
        << "readiness_path = \"/api/readiness\"\n"
-       << "metrics = \"" << nodeIp(node) << ":" << kMetricsPort << "\"\n"
+       << "metrics = \"" << nodeIp(node) << ":" << metricsPort << "\"\n"
        << "request_header = \"Umberhold-Request-Id\"\n"
-       << "store = \"" << storeIp() << ":" << kStorePort << "\"\n"
-       << "peer_address = \"" << nodeIp(node) << ":" << kControlPort << "\"\n"
-       << "peers = [\"" << nodeIp(0) << ":" << kControlPort << "\",\"" << nodeIp(1) << ":"
-       << kControlPort << "\",\"" << nodeIp(2) << ":" << kControlPort << "\"]\n"
+       << "store = \"" << storeIp() << ":" << storePort << "\"\n"
+       << "peer_address = \"" << nodeIp(node) << ":" << controlPort << "\"\n"
+       << "peers = [\"" << nodeIp(0) << ":" << controlPort << "\",\"" << nodeIp(1) << ":"
+       << controlPort << "\",\"" << nodeIp(2) << ":" << controlPort << "\"]\n"
        << "capacity = 0.25\nfirst_start = true\n"
        << "change_bound_milliseconds = " << kPropagation
        << "\ndrain_bound_milliseconds = " << kDrain << "\nflow_life_seconds = " << kMaxFlow / 1000
@@ -615,7 +617,7 @@
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const timeval limit{0, 300000};
   setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  const sockaddr_in to = address(nodeIp(node), kReadyPort);
+  const sockaddr_in to = address(nodeIp(node), readyPort);
   bool ready = false;
   if (connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
     const std::string ask =
@@ -644,6 +646,39 @@
   }
   return true;
 }
+bool isFree(const std::string& where, uint16_t port, int type) {
+  const int descriptor = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+  const sockaddr_in local = address(where, port);
+  const bool free = bind(descriptor, reinterpret_cast<const sockaddr*>(&local), sizeof local) == 0;
+  close(descriptor);
+  return free;
+}
+/** Finds a subnet of the loopback range and ports that are free there; opens the stand-ins. */
+template <class Callers>
+bool findAddresses(int nodeCount, Store& store, Hosts& hosts, Callers& callers) {
+  for (unsigned tries = 0; tries < 20; ++tries) {
+    const unsigned pick = static_cast<unsigned>(getpid()) * 7 + tries * 101;
+    subnet = "127." + std::to_string(20 + pick % 200) + "." + std::to_string(pick / 200 % 250) + ".";
+    const auto first = static_cast<uint16_t>(10000 + pick * 8 % 20000);  // below the ephemeral ports
+    dataPort = first;
+    readyPort = static_cast<uint16_t>(first + 1);
+    controlPort = static_cast<uint16_t>(first + 2);
+    metricsPort = static_cast<uint16_t>(first + 3);
+    hostPort = static_cast<uint16_t>(first + 4);
+    storePort = static_cast<uint16_t>(first + 5);
+    bool free = true;
+    for (int node = 0; node < nodeCount; ++node) {
+      free = free && isFree(nodeIp(node), dataPort, SOCK_DGRAM) &&
+             isFree(nodeIp(node), readyPort, SOCK_STREAM) &&
+             isFree(nodeIp(node), controlPort, SOCK_STREAM) &&
+             isFree(nodeIp(node), metricsPort, SOCK_STREAM);
+    }
+    if (free && store.listen() && hosts.open() && callers.open()) {
+      return true;
+    }
+  }
+  return false;
+}
 int cannotRun(const char* why) {
   record("the case could not run: %s", why);
   endNodes();
