Name the successor of an ended host in the log

Cause: `host_ended` says that a later host has the address, but not which.

Conclusion: resets by host_ended lead to the entry that caused them.

--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -274,7 +274,8 @@
         LOG_TO_SINK_BUT_NOT_TO_LOGFILE(flowLog.sink(), INFO)
             << "event=host_" << toString(change.kind) << " pool=" << change.pool
             << " host=" << change.host.name << " endpoint=" << toString(change.host.endpoint)
-            << " zone=" << change.host.zone;
+            << " zone=" << change.host.zone << (change.successor.empty() ? "" : " successor=")
+            << change.successor;
       }
     }
   }
--- a/source/common/token/token_hosts.cc
+++ b/source/common/token/token_hosts.cc
@@ -142,18 +142,22 @@
 }
 
 void TokenHosts::markEnded(std::vector<HostChange>& changes) {
-  std::unordered_map<Endpoint, TimePoint> newest;
+  std::unordered_map<Endpoint, const TokenHost*> newest;
   for (const auto& [token, host] : hosts_) {
     if (host.isActive()) {
-      TimePoint& seen = newest[host.spec.endpoint];
-      seen = std::max(seen, host.firstSeen);
+      const TokenHost*& known = newest[host.spec.endpoint];
+      known = known == nullptr || host.firstSeen > known->firstSeen ? &host : known;
     }
   }
   for (auto& [token, host] : hosts_) {
     const auto other = host.isActive() ? newest.end() : newest.find(host.spec.endpoint);
-    const bool ended = other != newest.end() && other->second > host.firstSeen;
+    const bool ended = other != newest.end() && other->second->firstSeen > host.firstSeen;
     if (ended && !host.ended) {
-      changes.push_back({HostChangeKind::kEnded, host.pool, host.spec});
+      HostChange& change = changes.emplace_back();
+      change.kind = HostChangeKind::kEnded;
+      change.pool = host.pool;
+      change.host = host.spec;
+      change.successor = other->second->spec.name;
     }
     host.ended = ended;
   }
--- a/source/common/token/token_hosts.h
+++ b/source/common/token/token_hosts.h
@@ -58,6 +58,8 @@
   HostSpec host;
   /** Start time of a restarted host, if known. */
   std::optional<TimePoint> startedAt{};
+  /** Name of the host that uses the endpoint of an ended host. */
+  std::string successor{};
 };
 
 /** A host, listed or not. */
