Let a host take flows again once the entry that superseded it is gone

Cause: HostPresence dropped the entry of the earlier host, so that nothing but a change of it or a new list could bring it back, and the removed later entry went on superseding for the 75 s for which hosts that left are kept.

Change: entries stay and are marked at each settle(). A host that is still registered is superseded by registered hosts only; one that has left also by those that have left since.

Tests: HostTakesFlowsAgainOnceTheSuccessorsRegistrationEnds and ..HasAnotherEndpoint fail on the code before (2 registered of 3; 2 active of 3), pass now. HostThatLeftBeforeItsSuccessorStaysSuperseded holds before and after: an address that was given on stays given on.

Conclusion: a wrong entry costs a living host new flows only while it stands.

--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -101,7 +101,7 @@
 
 std::vector<HostPool> HostPresence::settle(TimePoint now) {
   settledAt_ = now;
-  dropSuperseded();
+  markSuperseded();
   markMassRemovals(now);
   dropExpired(now);
   std::vector<HostPool> changed;
@@ -187,7 +187,7 @@
 void HostPresence::markMassRemovals(TimePoint now) {
   std::map<std::string, PoolCount> counts;
   for (const auto& [name, entry] : entries_) {
-    if (entry.registration.host.state == HostState::kActive) {
+    if (entry.registration.host.state == HostState::kActive && !entry.isSuperseded) {
       PoolCount& count = counts[entry.registration.pool];
       count.present += entry.removedAt ? 0 : 1;
       count.vanished += endedRecently(entry, now) ? 1 : 0;
@@ -202,19 +202,37 @@
   }
 }
 
-void HostPresence::dropSuperseded() {
-  std::unordered_map<Endpoint, const HostRegistration*> latest;
+std::unordered_map<Endpoint, HostPresence::LatestHosts> HostPresence::latestHosts() const {
+  const auto latestOf = [](const HostRegistration* known, const HostRegistration& registration) {
+    return known == nullptr || isLater(registration, *known) ? &registration : known;
+  };
+  std::unordered_map<Endpoint, LatestHosts> latest;
   for (const auto& [name, entry] : entries_) {
     if (maySupersede(entry.registration)) {
-      const HostRegistration*& known = latest[entry.registration.host.endpoint];
-      known = known == nullptr || isLater(entry.registration, *known) ? &entry.registration : known;
+      LatestHosts& hosts = latest[entry.registration.host.endpoint];
+      hosts.any = latestOf(hosts.any, entry.registration);
+      hosts.registered =
+          entry.removedAt ? hosts.registered : latestOf(hosts.registered, entry.registration);
     }
   }
-  std::erase_if(entries_, [&latest](const auto& named) {
-    const HostRegistration& registration = named.second.registration;
-    const auto latestHost = latest.find(registration.host.endpoint);
-    return latestHost != latest.end() && isLater(*latestHost->second, registration);
-  });
+  return latest;
+}
+
+void HostPresence::markSuperseded() {
+  newlySuperseded_.clear();
+  const auto latest = latestHosts();
+  for (auto& [name, entry] : entries_) {
+    const Endpoint& endpoint = entry.registration.host.endpoint;
+    const auto found = latest.find(endpoint);
+    const LatestHosts hosts = found == latest.end() ? LatestHosts{} : found->second;
+    // A host that has left says nothing about a host that is still registered.
+    const HostRegistration* const successor = entry.removedAt ? hosts.any : hosts.registered;
+    const bool isSuperseded = successor != nullptr && isLater(*successor, entry.registration);
+    if (isSuperseded && !entry.isSuperseded) {
+      newlySuperseded_.push_back({name, successor->host.name, endpoint});
+    }
+    entry.isSuperseded = isSuperseded;
+  }
 }
 
 void HostPresence::dropExpired(TimePoint now) {
@@ -226,6 +244,9 @@
 std::map<std::string, HostPool> HostPresence::makePools(TimePoint now) const {
   std::map<std::string, HostPool> pools;
   for (const auto& [name, entry] : entries_) {
+    if (entry.isSuperseded) {
+      continue;
+    }
     HostPool& pool = pools[entry.registration.pool];
     pool.name = entry.registration.pool;
     HostSpec& host = pool.hosts.emplace_back(entry.registration.host);
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -8,8 +8,9 @@
  * the store for a while; such hosts are alive and register again within a heartbeat. Hosts whose
  * registrations vanish during or right after an outage, or together with a large part of their
  * pool, therefore stay active for a grace period. An endpoint is assigned to another host only
- * after its previous host has ended, so of two hosts with the same endpoint only the later one is
- * alive. Pure decision logic without I/O.
+ * after its previous host has ended, so of two registered hosts with the same endpoint only the
+ * later one is alive. This holds as long as the later registration exists: once it has ended, a
+ * host that is still registered counts as alive again. Pure decision logic without I/O.
  */
 #pragma once
 
@@ -18,9 +19,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "common/base/endpoint.h"
 #include "common/base/time.h"
 #include "common/config/service.h"
 
@@ -39,6 +42,16 @@
   uint64_t madeAt = 0;
 };
 
+/** A host that is not alive because a host that appeared later uses its endpoint. */
+struct SupersededHost {
+  std::string host;
+  /** The host that uses the endpoint. */
+  std::string successor;
+  Endpoint endpoint;
+
+  bool operator==(const SupersededHost&) const = default;
+};
+
 /** Grace periods and thresholds. */
 struct HostPresenceOptions {
   /** Grace period of a host whose registration vanished although the host may be alive. */
@@ -109,7 +122,9 @@
    * @return the pools that changed, in full.
    */
   std::vector<HostPool> settle(TimePoint now);
-  /** @return the registrations that currently exist. */
+  /** @return the hosts that the last settle() began to treat as superseded. */
+  const std::vector<SupersededHost>& newlySuperseded() const { return newlySuperseded_; }
+  /** @return the registrations that currently exist, including those of superseded hosts. */
   std::vector<HostRegistration> registered() const;
   /** @return the names of registered hosts that are not in the set. */
   std::vector<std::string> registeredExcept(const std::set<std::string>& names) const;
@@ -127,6 +142,13 @@
     bool afterOutage = false;
     /** Whether the registration ended together with a large part of its pool. */
     bool inMassRemoval = false;
+    /** Whether another host uses the endpoint; as of the last settle(). */
+    bool isSuperseded = false;
+  };
+  /** The latest hosts with one endpoint: of those that are registered, and of all. */
+  struct LatestHosts {
+    const HostRegistration* registered = nullptr;
+    const HostRegistration* any = nullptr;
   };
 
   bool maySupersede(const HostRegistration& registration) const {
@@ -139,11 +161,12 @@
   TimePoint expiresAt(const Entry& entry) const { return *entry.removedAt + options_.retention; }
   bool endedRecently(const Entry& entry, TimePoint now) const;
   void markMassRemovals(TimePoint now);
+  std::unordered_map<Endpoint, LatestHosts> latestHosts() const;
   /**
-   * Drops hosts whose endpoint a later host uses: they have ended, even if their registration still
+   * Marks hosts whose endpoint a later host uses: they have ended, even if their registration still
    * exists.
    */
-  void dropSuperseded();
+  void markSuperseded();
   void dropExpired(TimePoint now);
   std::map<std::string, HostPool> makePools(TimePoint now) const;
 
@@ -151,6 +174,7 @@
   std::map<std::string, Entry> entries_;
   /** Pools as of the last settle(). */
   std::map<std::string, HostPool> pools_;
+  std::vector<SupersededHost> newlySuperseded_;
   std::optional<std::set<std::string>> configuredPools_;
   bool inOutage_ = false;
   std::optional<TimePoint> recoveredAt_;
--- a/test/common/platform/host_presence_test.cc
+++ b/test/common/platform/host_presence_test.cc
@@ -220,6 +220,52 @@
   LONGS_EQUAL(1, pools["mapstore"].hosts.size());
 }
 
+/** Guards against a living host that gets no flow after another entry held its address. */
+TEST(HostPresence, HostTakesFlowsAgainOnceTheSuccessorsRegistrationEnds) {
+  registerHosts(2);
+  HostRegistration successor = registration(7);
+  successor.host.endpoint = {0x0A000000U, 80};
+  presence.onRegistered(successor);
+  settle();
+  LONGS_EQUAL(2, active());
+  LONGS_EQUAL(1, presence.newlySuperseded().size());
+  const SupersededHost expected{nameOf(0), nameOf(7), successor.host.endpoint};
+  CHECK_TRUE(presence.newlySuperseded().front() == expected);
+  LONGS_EQUAL(3, presence.registered().size());
+  settle();
+  LONGS_EQUAL(0, presence.newlySuperseded().size());
+  remove(7);
+  settle();
+  LONGS_EQUAL(2, active());
+  STRCMP_EQUAL(nameOf(0).c_str(), pools["dispatch"].hosts[0].name.c_str());
+  CHECK_TRUE(pools["dispatch"].hosts[0].state == HostState::kActive);
+}
+
+TEST(HostPresence, HostTakesFlowsAgainOnceTheSuccessorHasAnotherEndpoint) {
+  registerHosts(2);
+  HostRegistration successor = registration(7);
+  successor.host.endpoint = {0x0A000000U, 80};
+  presence.onRegistered(successor);
+  settle();
+  LONGS_EQUAL(2, active());
+  presence.onRegistered(registration(7));
+  settle();
+  LONGS_EQUAL(3, active());
+}
+
+TEST(HostPresence, HostThatLeftBeforeItsSuccessorStaysSuperseded) {
+  registerHosts(2);
+  HostRegistration successor = registration(7);
+  successor.host.endpoint = {0x0A000000U, 80};
+  presence.onRegistered(successor);
+  remove(0);
+  remove(7);
+  settle();
+  LONGS_EQUAL(1, active());
+  LONGS_EQUAL(1, draining());
+  STRCMP_EQUAL(nameOf(7).c_str(), pools["dispatch"].hosts[1].name.c_str());
+}
+
 TEST(HostPresence, DelayedWriteFromBeforeARestartIsIgnored) {
   HostRegistration first = registration(1, HostState::kDraining);
   first.host.startedAtMilliseconds = 1000;
