Reset no flow of a host that is still registered

What callers saw: an entry that holds a living host's address and every field of a host's resets that host's open flows too.

Cause: a superseded host was left out of its pool at once, so that nodes took it for one that has left, and a later host with its address for the proof that it has ended. But two registered hosts with one address contradict each other, and nothing tells which entry is wrong: sound entries are written anew each heartbeat, and one of a host that died goes after three.

Change: a superseded host that is still registered is listed as draining; it is left out once its own registration has ended and no grace of an outage is left. TokenHosts takes only hosts that no pool lists for ended. Class: irreversible action on a contradiction, in place of the reversible one.

Conclusion: open flows of a living host stay whatever stands beside its entry; deaths are found as before, by silence first.

--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -175,7 +175,7 @@
 }
 
 bool HostPresence::receivesNewFlows(const Entry& entry, TimePoint now) const {
-  return entry.registration.host.state == HostState::kActive &&
+  return entry.registration.host.state == HostState::kActive && !entry.isSuperseded &&
          (!entry.removedAt || now < activeUntil(entry));
 }
 
@@ -244,7 +244,7 @@
 std::map<std::string, HostPool> HostPresence::makePools(TimePoint now) const {
   std::map<std::string, HostPool> pools;
   for (const auto& [name, entry] : entries_) {
-    if (entry.isSuperseded) {
+    if (hasEnded(entry, now)) {
       continue;
     }
     HostPool& pool = pools[entry.registration.pool];
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -8,9 +8,11 @@
  * the store for a while; such hosts are alive and register again within a heartbeat. Hosts whose
  * registrations vanish during or right after an outage, or together with a large part of their
  * pool, therefore stay active for a grace period. An endpoint is assigned to another host only
- * after its previous host has ended, so of two registered hosts with the same endpoint only the
- * later one is alive. This holds as long as the later registration exists: once it has ended, a
- * host that is still registered counts as alive again. Pure decision logic without I/O.
+ * after its previous host has ended, so of two hosts with the same endpoint only the later one is
+ * alive. Either registration may be wrong, however, as others may write registrations too.
+ * Therefore a superseded host only stops receiving new flows while it is still registered, and
+ * receives them again once the later registration has ended. It has ended for certain once its own
+ * registration has and no grace period is left. Pure decision logic without I/O.
  */
 #pragma once
 
@@ -162,11 +164,12 @@
   bool endedRecently(const Entry& entry, TimePoint now) const;
   void markMassRemovals(TimePoint now);
   std::unordered_map<Endpoint, LatestHosts> latestHosts() const;
-  /**
-   * Marks hosts whose endpoint a later host uses: they have ended, even if their registration still
-   * exists.
-   */
+  /** Marks hosts whose endpoint a later host uses. */
   void markSuperseded();
+  /** @return whether the host has ended: it left, and a later host uses its endpoint. */
+  bool hasEnded(const Entry& entry, TimePoint now) const {
+    return entry.isSuperseded && entry.removedAt && now >= activeUntil(entry);
+  }
   void dropExpired(TimePoint now);
   std::map<std::string, HostPool> makePools(TimePoint now) const;
 
--- a/source/common/token/token_hosts.cc
+++ b/source/common/token/token_hosts.cc
@@ -150,7 +150,7 @@
     }
   }
   for (auto& [token, host] : hosts_) {
-    const auto other = host.isActive() ? newest.end() : newest.find(host.spec.endpoint);
+    const auto other = host.listed ? newest.end() : newest.find(host.spec.endpoint);
     const bool ended = other != newest.end() && other->second->firstSeen > host.firstSeen;
     if (ended && !host.ended) {
       HostChange& change = changes.emplace_back();
--- a/source/common/token/token_hosts.h
+++ b/source/common/token/token_hosts.h
@@ -178,8 +178,9 @@
   /** Marks the hosts that are missing in the new list. */
   void markLeft(TimePoint now, const HostPool& pool, std::vector<HostChange>& changes);
   /**
-   * Marks the hosts that have terminated, which is the case if a host that appeared later uses
-   * their endpoint. Two hosts of one list count as having appeared at the same time.
+   * Marks the hosts that have terminated, which is the case if they have left and a host that
+   * appeared later uses their endpoint. Two hosts of one list count as having appeared at the same
+   * time.
    */
   void markEnded(std::vector<HostChange>& changes);
   void removeExpired(TimePoint now);
--- a/test/common/token/token_director_test.cc
+++ b/test/common/token/token_director_test.cc
@@ -209,6 +209,21 @@
   CHECK_FALSE(director.hasResets());
 }
 
+/** Guards against resets of flows of a living host whose address stands in a later entry. */
+TEST(TokenDirector, ResetsNoFlowOfAHostThatIsListedBesideALaterOneWithItsAddress) {
+  data(1, flowTokenOf(1), 100);
+  HostSpec superseded = makeHost(1);
+  superseded.state = HostState::kDraining;
+  HostSpec successor = makeHost(3);
+  successor.endpoint = superseded.endpoint;
+  now += seconds(1);
+  director.setPool(now, {"dispatch", {superseded, makeHost(2), successor}});
+  CHECK_FALSE(director.hasResets());
+  CHECK_TRUE(std::holds_alternative<ForwardToHost>(data(1, flowTokenOf(1), 200)));
+  director.setPool(now, {"dispatch", {makeHost(1), makeHost(2)}});
+  CHECK_FALSE(director.hasResets());
+}
+
 TEST(TokenDirector, PlacesFewNewFlowsOnAVerySlowHost) {
   director.setPool(now, {"dispatch", {makeHost(1), makeHost(2), makeHost(3)}});
   const auto serve = [this](uint64_t incarnation, milliseconds answerTime) {
