Apply objects of the store by their kind

What callers would see: nothing that a sound writer does. An object of another kind under a host's name, such as one below `config`, withdrew the host of that name from new flows when it was deleted, or unreadable with an odd state.

Cause: StoreCopy::apply() knew the kind by what it had read alone, and a deletion or an unreadable object says nothing of it.

A deleted configuration changes nothing, as before.

Test: AnObjectOfAnotherKindChangesNoHostOfItsName fails before (the host drains), passes now.

Conclusion: only entries of hosts change hosts.

--- a/test/platform/store/store_copy_property.cc
+++ b/test/platform/store/store_copy_property.cc
@@ -119,7 +119,7 @@
 
   void readStaleList(TimePoint now, const History& history, uint64_t revision) {
     for (StoreObject& object : history.list(revision)) {
-      copy.apply(now, std::move(object));
+      copy.apply(now, StoreKind::kHosts, std::move(object));
     }
     copy.onStaleHostList(revision);
     version = revision;
@@ -128,14 +128,14 @@
     std::set<std::string> names;
     for (StoreObject& object : history.list(history.revision())) {
       names.insert(object.name);
-      copy.apply(now, std::move(object));
+      copy.apply(now, StoreKind::kHosts, std::move(object));
     }
     copy.onCurrentHostList(now, version, history.revision(), names);
     version = history.revision();
   }
   void watch(TimePoint now, const History& history) {
     for (StoreObject& event : history.since(version)) {
-      copy.apply(now, std::move(event));
+      copy.apply(now, StoreKind::kHosts, std::move(event));
     }
     version = history.revision();
   }
--- a/test/platform/store/store_copy_test.cc
+++ b/test/platform/store/store_copy_test.cc
@@ -15,7 +15,7 @@
         StoreKind::kConfiguration,
         R"({"items":[{"meta":{"name":"main","revision":1},"spec":{"version":1,"routes":[],)"
         R"("services":[{"name":"s"}]}}],"more":false,"at":1})");
-    copy.apply(now, valueOf(page).objects.at(0));
+    copy.apply(now, StoreKind::kConfiguration, valueOf(page).objects.at(0));
     write("i-1", 2, R"("slots":2,"state":"ready")");
   }
   bool write(const std::string& name, uint64_t revision, const std::string& fields,
@@ -28,7 +28,7 @@
                           std::to_string(revision) + R"(:80","zone":"z","version":"v1",)" +
                           R"("cold_remaining_ms":0,"sequence":1,)" + fields + R"(}}}],"at":9})");
     CHECK_TRUE(isOk(changes));
-    const bool isReadable = copy.apply(now, valueOf(changes).events.at(0));
+    const bool isReadable = copy.apply(now, StoreKind::kHosts, valueOf(changes).events.at(0));
     copy.settle(now);
     return isReadable;
   }
@@ -108,6 +108,18 @@
   CHECK_TRUE(host().state == HostState::kActive);
 }
 
+TEST(StoreCopyEntries, AnObjectOfAnotherKindChangesNoHostOfItsName) {
+  StoreObject object;
+  object.name = "i-1";
+  object.revision = 3;
+  object.specification = Unreadable{"odd"};
+  CHECK_FALSE(copy.apply(now, StoreKind::kConfiguration, object));
+  object.gone = true;
+  CHECK_TRUE(copy.apply(now, StoreKind::kConfiguration, object));
+  copy.settle(now);
+  CHECK_TRUE(host().state == HostState::kActive);
+}
+
 TEST(StoreCopyEntries, AnEntryWithoutANameRemovesNoHost) {
   write("i-2", 3, R"("slots":2,"state":"odd")");
   write("i-xyz", 4, R"("slots":2,"state":"ready")");
