--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -304,6 +304,21 @@
   CHECK_TRUE(store->calls().lists > 0);
 }
 
+/** Guards against new flows to a host that left while the history was lost. */
+TEST(ObjectStoreAdapter, AListWithUnreadableEntriesEndsTheHostsThatItLacks) {
+  storeConfigurationAndHosts(8);
+  start();
+  setResponseMode(test::StoreResponseMode::kBusy);
+  store->objects().remove("servers", "i-1", 0);
+  store->objects().set("servers", "i-2", "\"\xFF\"");
+  store->objects().set("servers", "i-\xFF", "7");
+  store->objects().forgetHistory();
+  setResponseMode(test::StoreResponseMode::kAnswering);
+  CHECK_TRUE(followToActive(6));
+  setHost(2);
+  CHECK_TRUE(followToActive(7));
+}
+
 TEST(ObjectStoreAdapter, KeepsHostsLostByABusyStoreActiveUntilTheyRegisterAgain) {
   storeConfigurationAndHosts(4);
   start();
