--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -270,6 +270,25 @@
   STRCMP_EQUAL("r-1", std::get<Service>(valueOf(batch).changes[0]).name.c_str());
 }
 
+/** Guards against new flows to hosts that left together: nothing but time ends their grace. */
+TEST(ObjectStoreAdapter, TheEndOfAGracePeriodEndsAPendingWatch) {
+  changeBatchDelay = milliseconds(300);
+  maxWatchDuration = seconds(60);
+  storeConfigurationAndHosts(4);
+  start();
+  setHost(5);
+  CHECK_TRUE(followToActive(5));
+  // Both are in the answer that follows the delay.
+  store->objects().remove("servers", "i-1", 0);
+  store->objects().remove("servers", "i-2", 0);
+  const TimePoint removedAt = steadyNow();
+  const auto batch = adapter->watch(appliedVersion, seconds(20));
+  CHECK_TRUE(isOk(batch));
+  applyChanges(valueOf(batch));
+  LONGS_EQUAL(3, activeHosts());
+  CHECK_TRUE(steadyNow() - removedAt < seconds(3));
+}
+
 TEST(ObjectStoreAdapter, IsUnavailableUntilThereIsAConfiguration) {
   ObjectStoreOptions shortTimeoutOptions = options();
   shortTimeoutOptions.firstListTimeout = milliseconds(50);
