--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -289,6 +289,28 @@
   CHECK_TRUE(steadyNow() - removedAt < seconds(3));
 }
 
+/** Guards against new flows to a host that leaves long after an outage without saying so. */
+TEST(ObjectStoreAdapter, AnOutageIsOverOnceAProbeIsAnsweredWhileTheWatchWaits) {
+  livenessInterval = milliseconds(50);
+  answerLimit = seconds(30);
+  maxWatchDuration = seconds(60);
+  storeConfigurationAndHosts(8);
+  ObjectStoreOptions longGrace = options();
+  longGrace.presence.outageGrace = seconds(10);
+  longGrace.presence.postOutageWindow = milliseconds(300);
+  adapter = std::make_unique<ObjectStoreAdapter>(longGrace);
+  awaitList();
+  test::StandinFaults faults;
+  faults.responseMode = test::StoreResponseMode::kSilent;
+  store->setFaults(faults);
+  std::this_thread::sleep_for(milliseconds(500));
+  store->setFaults({});
+  // Longer than a node takes to notice, and the time in which departures count as its consequence.
+  std::this_thread::sleep_for(milliseconds(1500));
+  store->objects().remove("servers", "i-1", 0);
+  CHECK_TRUE(follow([this] { return activeHosts() == 7; }, seconds(2)));
+}
+
 TEST(ObjectStoreAdapter, IsUnavailableUntilThereIsAConfiguration) {
   ObjectStoreOptions shortTimeoutOptions = options();
   shortTimeoutOptions.firstListTimeout = milliseconds(50);
