--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -46,9 +46,8 @@
 /** Timing of a follower. */
 struct FollowerOptions {
   /**
-   * Maximum duration of one watch. Bounds how long a lost watch goes unnoticed if the store was
-   * unresponsive only between two probes. A watch that is sent while the store loses its history
-   * may be lost as well, so more frequent watches would not help.
+   * Maximum duration of one watch; shorter than the store's history, since a watch that begins
+   * before the history is not answered with changes any more.
    */
   Duration maxWatchDuration = std::chrono::seconds(30);
   /**
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -15,6 +15,7 @@
 /** Processor cores. */
 constexpr double kMaxCapacity = 1024.0;
 constexpr int64_t kMaxBoundMilliseconds = 60000;
+constexpr int64_t kMaxStoreHistorySeconds = 86400;
 /** Fraction of the time after which callers give up. */
 constexpr double kMaxWaitPart = 1.0;
 /** Fraction of the new flows of a split. */
@@ -192,6 +193,7 @@
                   kMaxBoundMilliseconds);
     reader.number("evacuation_bound_milliseconds", settings.evacuationBoundMilliseconds,
                   kMaxBoundMilliseconds, 0);
+    reader.number("store_history_seconds", settings.storeHistorySeconds, kMaxStoreHistorySeconds);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kMaxFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kMaxLingerMilliseconds);
     reader.flag("share_observations", settings.sharesObservations);
@@ -245,6 +247,7 @@
   compare("change_bound_milliseconds", &S::changeBoundMilliseconds, false);
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("evacuation_bound_milliseconds", &S::evacuationBoundMilliseconds, false);
+  compare("store_history_seconds", &S::storeHistorySeconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
   compare("linger_milliseconds", &S::lingerMilliseconds, true);
   compare("share_observations", &S::sharesObservations, false);
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -54,6 +54,8 @@
   /** Maximum time until hosts of an evacuated zone receive no new flows after the store has the
    * evacuation, milliseconds; 0 if the platform has no evacuations. */
   uint32_t evacuationBoundMilliseconds = 0;
+  /** Time for which the store keeps the changes that a watch may begin at, seconds. */
+  uint32_t storeHistorySeconds = 20;
   /** Maximum lifetime of a flow, seconds. */
   uint32_t flowLifeSeconds = 60;
   /** Time for which packets are still forwarded after SIGTERM, milliseconds. */
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -26,6 +26,7 @@
 evacuation_bound_milliseconds = 5000
 cold_rate_factor = 2
 cold_rate_allowance = 0
+store_history_seconds = 45
 flow_life_seconds = 90
 linger_milliseconds = 3000
 share_observations = false
@@ -88,6 +89,7 @@
   CHECK_EQUAL(5000, read.evacuationBoundMilliseconds);
   DOUBLES_EQUAL(2.0, read.coldHosts.rateFactor, 1e-9);
   DOUBLES_EQUAL(0.0, read.coldHosts.rateAllowance, 1e-9);
+  CHECK_EQUAL(45, read.storeHistorySeconds);
   CHECK_EQUAL(90, read.flowLifeSeconds);
   CHECK_EQUAL(3000, read.lingerMilliseconds);
 }
@@ -128,6 +130,7 @@
   checkRefused(SettingsErrorCode::kWrongType, "data", with("10.1.0.10:8172", "front:8172"));
   checkRefused(SettingsErrorCode::kWrongType, "flow_life_seconds", with("90", "\"90\""));
   checkRefused(SettingsErrorCode::kOutOfRange, "flow_life_seconds", with("90", "0"));
+  checkRefused(SettingsErrorCode::kOutOfRange, "store_history_seconds", with("45", "0"));
   checkRefused(SettingsErrorCode::kWrongType, "capacity", with("0.25", "\"much\""));
   checkRefused(SettingsErrorCode::kOutOfRange, "capacity", with("0.25", "0"));
   checkRefused(SettingsErrorCode::kOutOfRange, "openings_per_slot", with("2.5", "-1"));
