--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -253,6 +253,65 @@
   CHECK_TRUE(follow([this] { return services.size() == 3; }));
 }
 
+/** Guards against outdated configurations and hosts: a store that answers lost the watch alone. */
+TEST(ObjectStoreAdapter, RenewsAWatchThatMissesAChange) {
+  livenessInterval = milliseconds(100);
+  maxWatchDuration = seconds(60);
+  storeConfigurationAndHosts(4);
+  start();
+  setHost(5);
+  CHECK_TRUE(followToActive(5));
+  std::this_thread::sleep_for(milliseconds(300));  // Both watches are pending.
+  for (const char* kind : {"servers", "config"}) {
+    store->objects().muteWatches(kind);
+  }
+  const uint64_t watches = store->calls().watches;
+  setHost(1, "draining");
+  CHECK_TRUE(follow([this] { return activeHosts() == 4; }, seconds(2)));
+  store->objects().set("config", "main", configuration(5, "s-one", 3));
+  CHECK_TRUE(follow([this] { return services.size() == 3; }, seconds(2)));
+  CHECK_TRUE(store->calls().watches <= watches + 4);
+}
+
+/** A watch that the store received in a silence that no probe met. */
+TEST(ObjectStoreAdapter, RenewsAWatchThatAShortSilenceSwallowed) {
+  livenessInterval = milliseconds(700);
+  changeBatchDelay = milliseconds(200);
+  answerLimit = seconds(30);
+  maxWatchDuration = seconds(60);
+  storeConfigurationAndHosts(4);
+  start();
+  for (int round = 0; round < 3; ++round) {
+    setHost(5 + round);
+    CHECK_TRUE(followToActive(5 + round));
+    test::StandinFaults faults;
+    faults.responseMode = test::StoreResponseMode::kSilent;
+    faults.staysSilent = true;
+    store->setFaults(faults);
+    std::this_thread::sleep_for(milliseconds(300));  // The next watch is sent within.
+    store->setFaults({});
+    setHost(1, round % 2 == 0 ? "draining" : "ready");
+    const size_t expected = 5 + round - (round % 2 == 0 ? 1 : 0);
+    CHECK_TRUE(follow([&] { return activeHosts() == expected; }, seconds(3)));
+    setHost(1);
+    CHECK_TRUE(followToActive(5 + round));
+  }
+}
+
+TEST(ObjectStoreAdapter, AWatchThatAnswersIsNotRenewed) {
+  livenessInterval = milliseconds(20);
+  maxWatchDuration = seconds(60);
+  storeConfigurationAndHosts(4);
+  start();
+  const uint64_t connections = store->calls().connections;
+  for (int round = 0; round < 40; ++round) {
+    setHost(1, round % 2 == 0 ? "draining" : "ready");
+    CHECK_TRUE(followToActive(round % 2 == 0 ? 3 : 4));
+  }
+  CHECK_TRUE(store->calls().watchChecks > 5);
+  CHECK_TRUE(store->calls().connections <= connections + 1);  // One for the probes.
+}
+
 TEST(ObjectStoreAdapter, AConfigurationAloneEndsAPendingWatch) {
   storeConfigurationAndHosts(1);
   start();
--- a/test/platform/store/standin_store.cc
+++ b/test/platform/store/standin_store.cc
@@ -177,7 +177,7 @@
     if (request.getMethod() != "GET") {
       ++calls.changes;
     } else if (queryNumber(request, "watch")) {
-      ++calls.watches;
+      ++(queryNumber(request, "stale") ? calls.watchChecks : calls.watches);
     } else if (std::count(request.getURI().begin(), request.getURI().end(), '/') > kSlashesOfList) {
       ++calls.reads;
     } else {
--- a/test/platform/store/standin_store.h
+++ b/test/platform/store/standin_store.h
@@ -46,6 +46,8 @@
   uint64_t lists = 0;
   uint64_t staleLists = 0;
   uint64_t watches = 0;
+  /** Watches with stale=1, which are answered at once. */
+  uint64_t watchChecks = 0;
   /** Reads of single objects, by name. */
   uint64_t reads = 0;
   /** Calls that are not GET: creations, replacements and deletions. */
