End a verdict on a silent host three seconds after the last copy that shows it

Cause, by the code: a node reports copies for 3 s after the last one, the zone's reader keeps the report for 3 s, each mention makes the host dead for 3 s more. Nobody talks to the host meanwhile, so that no answer ends it.

Change: reports and the zone's answers tell how long ago the last copy was (optional on the wire); all three lifetimes count from that copy.

Tests: ASilenceIsNamedNoLongerThanThreeSecondsAfterItsLastCopy and AVerdictOfTheZoneEndsThreeSecondsAfterTheLastCopyThatShowsIt fail with the old lines, pass now.

--- a/source/common/health/zone_silence.cc
+++ b/source/common/health/zone_silence.cc
@@ -38,6 +38,7 @@
   reported.callers = state.callers;
   reported.callers.resize(std::min(reported.callers.size(), kMaxReportedCallers));
   reported.silentMilliseconds = state.copies == 0 ? 0 : millisecondsSince(state.since, now);
+  reported.copyAgoMilliseconds = state.copies == 0 ? 0 : millisecondsSince(state.lastCopyAt, now);
   return reported;
 }
 
@@ -109,7 +110,8 @@
       host.reports.erase(reporter);
     } else {
       const auto ago = std::chrono::milliseconds(reported.silentMilliseconds);
-      host.reports[reporter] = {now, reported.copies, reported.callers, now - ago};
+      const auto copyAgo = std::chrono::milliseconds(reported.copyAgoMilliseconds);
+      host.reports[reporter] = {now, reported.copies, reported.callers, now - ago, now - copyAgo};
     }
   }
 }
@@ -123,13 +125,15 @@
                      [time](const auto& reporter) { return reporter.second >= time; });
 }
 
-std::optional<TimePoint> ZoneSilence::silentSince(const Host& host) const {
+std::optional<ZoneSilence::Silence> ZoneSilence::silenceOf(const Host& host) const {
   const auto counts = [&host](const Report& report) {
     return report.since > host.answeredAt + kReportDelay;
   };
   TimePoint since = TimePoint::max();
+  TimePoint lastCopyAt{};
   for (const auto& [reporter, report] : host.reports) {
     since = counts(report) ? std::min(since, report.since) : since;
+    lastCopyAt = counts(report) ? std::max(lastCopyAt, report.lastCopyAt) : lastCopyAt;
   }
   size_t reporters = 0;
   uint32_t copies = 0;
@@ -145,7 +149,7 @@
   const bool isSilent =
       reporters >= kMinReporters && callers.size() >= kMinCallers && copies >= kMinCopies;
   return isSilent && reportedAt_.size() >= minNodes_ && haveAllReportedSince(since + kMinSilence)
-             ? std::optional(since)
+             ? std::optional(Silence{since, lastCopyAt})
              : std::nullopt;
 }
 
@@ -154,9 +158,10 @@
   std::erase_if(reportedAt_, [now](const auto& named) { return now - named.second > kWindow; });
   for (auto& [token, host] : hosts_) {
     std::erase_if(host.reports,
-                  [now](const auto& named) { return now - named.second.at > kWindow; });
-    if (const auto since = silentSince(host)) {
-      silent.push_back({token, millisecondsSince(*since, now)});
+                  [now](const auto& named) { return now - named.second.lastCopyAt > kWindow; });
+    if (const auto silence = silenceOf(host)) {
+      silent.push_back({token, millisecondsSince(silence->since, now),
+                        millisecondsSince(silence->lastCopyAt, now)});
     }
   }
   std::erase_if(hosts_, [now](const auto& named) {
--- a/source/common/health/zone_silence.h
+++ b/source/common/health/zone_silence.h
@@ -20,14 +20,14 @@
 namespace umberhold {
 
 /**
- * Maximum number of hosts in one report, unacknowledged ones first: 12 bytes each, 26 for a silent
+ * Maximum number of hosts in one report, unacknowledged ones first: 13 bytes each, 29 for a silent
  * host. Together with the response times of kMaxReportedHosts hosts, a report still fits into
  * the path of one query (2.3 KB, base64).
  */
 constexpr size_t kMaxLivenessReports = 64;
 /** Maximum number of callers listed per host in a report; detection needs no more. */
 constexpr size_t kMaxReportedCallers = 2;
-/** Maximum number of hosts in one response, 8 bytes each. */
+/** Maximum number of hosts in one response, 11 bytes each. */
 constexpr size_t kMaxSilentHosts = 256;
 
 /** Collects the acknowledgement states of this node until its next report. Not thread safe. */
@@ -78,14 +78,21 @@
     uint32_t copies = 0;
     std::vector<uint32_t> callers;
     TimePoint since{};
+    TimePoint lastCopyAt{};
   };
   struct Host {
     TimePoint answeredAt{};
     std::unordered_map<uint64_t, Report> reports;
   };
 
-  /** @return when the silence began; nothing if the host may be alive. */
-  std::optional<TimePoint> silentSince(const Host& host) const;
+  /** When a silence began, and the last sign of it. */
+  struct Silence {
+    TimePoint since{};
+    TimePoint lastCopyAt{};
+  };
+
+  /** @return the silence of a host; nothing if the host may be alive. */
+  std::optional<Silence> silenceOf(const Host& host) const;
   /** @return whether all nodes that report have reported at this time or later. */
   bool haveAllReportedSince(TimePoint time) const;
 
--- a/source/common/messages/peer_messages.h
+++ b/source/common/messages/peer_messages.h
@@ -62,6 +62,9 @@
 
 /** Whether a host acknowledged the data that the callers of a node sent to it. */
 struct HostLivenessReport {
+  /** Nodes of earlier versions do not send copyAgoMilliseconds. */
+  static constexpr uint32_t kOptionalFields = 1;
+
   /** Flow token of the host. */
   uint32_t token = 0;
   /** Time since its last acknowledgement, milliseconds. */
@@ -72,12 +75,15 @@
   std::vector<uint32_t> callers;
   /** Time since the first transmission of the earliest unacknowledged data, milliseconds. */
   uint32_t silentMilliseconds = 0;
+  /** Time since the last of these retransmissions, milliseconds. */
+  uint32_t copyAgoMilliseconds = 0;
 
   bool operator==(const HostLivenessReport&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
-    visitor(token, answeredAgoMilliseconds, copies, callers, silentMilliseconds);
+    visitor(token, answeredAgoMilliseconds, copies, callers, silentMilliseconds,
+            copyAgoMilliseconds);
   }
 };
 
@@ -101,15 +107,20 @@
 
 /** A host that is silent (acknowledges no data) to all nodes of a zone. */
 struct SilentHost {
+  /** Nodes of earlier versions do not send copyAgoMilliseconds. */
+  static constexpr uint32_t kOptionalFields = 1;
+
   uint32_t token = 0;
   /** Duration of the silence, milliseconds. */
   uint32_t silentMilliseconds = 0;
+  /** Time since the last retransmission that shows it, milliseconds. */
+  uint32_t copyAgoMilliseconds = 0;
 
   bool operator==(const SilentHost&) const = default;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
-    visitor(token, silentMilliseconds);
+    visitor(token, silentMilliseconds, copyAgoMilliseconds);
   }
 };
 
--- a/source/common/token/silence_detector.cc
+++ b/source/common/token/silence_detector.cc
@@ -16,7 +16,10 @@
  * packets, so many are unlikely to pass while every packet to one host is lost.
  */
 constexpr uint64_t kMinDeliveries = 10;
-/** How long a host counts as dead after one detection. */
+/**
+ * How long a host counts as dead after the last retransmission that it left unacknowledged, at any
+ * node: less than the time for which a disruption that has ended explains a reset (4 s).
+ */
 constexpr Duration kDeadDuration = std::chrono::seconds(3);
 /**
  * Maximum fraction of a pool's hosts that may count as dead by silence. If more appear dead, this
@@ -129,53 +132,56 @@
   if (host.silence.callers() < kMinCallersOfDeadHost || !isSilentOnWorkingPath(now, host)) {
     return {};
   }
-  return decide(now, {host.token}, SilenceSource::kNode);
+  return decide(now, {{host.token, now + kDeadDuration}}, SilenceSource::kNode);
 }
 
 std::set<uint32_t> SilenceDetector::onZoneSilent(TimePoint now,
                                                  const std::vector<SilentHost>& silentHosts) {
-  std::set<uint32_t> silent;
+  std::map<uint32_t, TimePoint> silent;
   for (const SilentHost& reported : silentHosts) {
     const TokenHost* host = hosts_.find(reported.token);
     const TimePoint since = now - std::chrono::milliseconds(reported.silentMilliseconds);
-    if (host != nullptr && host->isCurrentGenerationAt(since) &&
+    const TimePoint until =
+        now - std::chrono::milliseconds(reported.copyAgoMilliseconds) + kDeadDuration;
+    if (host != nullptr && now < until && host->isCurrentGenerationAt(since) &&
         isOvertaken(now, reported.token, since) &&
         host->silence.answeredAt().value_or(TimePoint{}) < since) {
-      silent.insert(reported.token);
+      silent.emplace(reported.token, until);
     }
   }
   return decide(now, silent, SilenceSource::kZone);
 }
 
-std::set<uint32_t> SilenceDetector::decide(TimePoint now, const std::set<uint32_t>& tokens,
+std::set<uint32_t> SilenceDetector::decide(TimePoint now,
+                                           const std::map<uint32_t, TimePoint>& silent,
                                            SilenceSource source) {
   std::set<uint32_t> dead;
-  for (const uint32_t token : tokens) {
+  for (const auto& [token, until] : silent) {
     TokenHost* host = hosts_.find(token);
     const TokenPool* pool = host == nullptr ? nullptr : hosts_.findPool(host->pool);
     if (pool == nullptr) {
       continue;
     }
-    if (!leavesEnoughHosts(now, *pool, tokens)) {
+    if (!leavesEnoughHosts(now, *pool, silent)) {
       record(now, *host, *pool, SilenceOutcome::kSpared, source);
       continue;
     }
     record(now, *host, *pool, SilenceOutcome::kDead, source);
     host->estimate.onReportedSilent(now);
-    host->deadUntil = now + kDeadDuration;
+    host->deadUntil = std::max(host->deadUntil, until);
     dead.insert(token);
   }
   return dead;
 }
 
 bool SilenceDetector::leavesEnoughHosts(TimePoint now, const TokenPool& pool,
-                                        const std::set<uint32_t>& tokens) const {
+                                        const std::map<uint32_t, TimePoint>& silent) const {
   size_t active = 0;
   size_t dead = 0;
   for (const TokenHost* host : pool.hosts) {
     if (host->isActive()) {
       ++active;
-      dead += host->isDead(now) || tokens.contains(host->token) ? 1 : 0;
+      dead += host->isDead(now) || silent.contains(host->token) ? 1 : 0;
     }
   }
   return static_cast<double>(dead) <= kMaxDeadFraction * static_cast<double>(active);
--- a/source/common/token/silence_detector.h
+++ b/source/common/token/silence_detector.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -145,10 +146,12 @@
   const SilenceCounters& counters() const { return counters_; }
 
  private:
-  std::set<uint32_t> decide(TimePoint now, const std::set<uint32_t>& tokens, SilenceSource source);
+  /** @param silent hosts by token, with the time until which each counts as dead. */
+  std::set<uint32_t> decide(TimePoint now, const std::map<uint32_t, TimePoint>& silent,
+                            SilenceSource source);
   /** @return whether at most half of the pool's active hosts would be dead, including these. */
   bool leavesEnoughHosts(TimePoint now, const TokenPool& pool,
-                         const std::set<uint32_t>& tokens) const;
+                         const std::map<uint32_t, TimePoint>& silent) const;
   /** Remembers that there is evidence against the host. */
   void suspect(uint32_t token);
   void record(TimePoint now, const TokenHost& host, const TokenPool& pool, SilenceOutcome outcome,
--- a/test/common/health/zone_silence_test.cc
+++ b/test/common/health/zone_silence_test.cc
@@ -169,6 +169,23 @@
   CHECK_TRUE(reader.zoneUpdate(now).silentHosts.empty());
 }
 
+/** Guards against resets at a host that is reachable again, but that nobody talks to. */
+TEST(ZoneSilence, ASilenceIsNamedNoLongerThanThreeSecondsAfterItsLastCopy) {
+  AckStateCollector collectors[2];
+  for (uint32_t number = 0; number < 2; ++number) {
+    collectors[number].add({{kHost, std::nullopt, 2, {11 + number}, now - milliseconds(600), now}});
+  }
+  for (int elapsed = 0; elapsed <= 8000; elapsed += 300) {
+    for (uint32_t number = 0; number < 2; ++number) {
+      zone.merge(now, number + 1, collectors[number].take(now));
+    }
+    const auto silent = zone.silentHosts(now);
+    LONGS_EQUAL(elapsed <= 3000 ? 1 : 0, silent.size());
+    CHECK_TRUE(silent.empty() || silent[0].copyAgoMilliseconds == static_cast<uint32_t>(elapsed));
+    now += milliseconds(300);
+  }
+}
+
 /** The reader keeps a report of silence for 3 s, unless a later one withdraws it. */
 TEST(ZoneSilence, AnswerIsReportedAgainIfTheReportWasLost) {
   ObservationExchange node("c-9");
--- a/test/common/token/silence_detector_test.cc
+++ b/test/common/token/silence_detector_test.cc
@@ -93,6 +93,16 @@
   CHECK_FALSE(verdicts[0].sinceAnswer.has_value());
 }
 
+/** Guards against resets at a host that is reachable again, but that nobody talks to. */
+TEST(SilenceDetector, AVerdictOfTheZoneEndsThreeSecondsAfterTheLastCopyThatShowsIt) {
+  now += seconds(10);
+  LONGS_EQUAL(1, detector.onZoneSilent(now, {{flowTokenOf(1), 4000, 2900}}).size());
+  CHECK_TRUE(host(1).isDead(now + milliseconds(99)));
+  CHECK_FALSE(host(1).isDead(now + milliseconds(100)));
+  CHECK_TRUE(detector.onZoneSilent(now, {{flowTokenOf(3), 9000, 3000}}).empty());
+  CHECK_FALSE(host(3).isDead(now));
+}
+
 /** Guards against resets of working flows: callers retransmit 200 ms after sending their data. */
 TEST(SilenceDetector, IgnoresRetransmissionsFromOneShortPause) {
   fallSilent(1, milliseconds(700), milliseconds(499));
