Let the soak's store have a second writer

Change: under both loads another writer adds entries with the address of a serving host (lacking fields, whole, with invalid bytes) or replaces a host's own; each stands for three heartbeats.

--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -44,7 +44,7 @@
   uint64_t madeAt = 0;
 };
 
-/** A host that is not alive because a host that appeared later uses its endpoint. */
+/** A host that gets no new flows because a host that appeared later uses its endpoint. */
 struct SupersededHost {
   std::string host;
   /** The host that uses the endpoint. */
--- a/test/soak/unit/evidence_test.cc
+++ b/test/soak/unit/evidence_test.cc
@@ -166,6 +166,16 @@
   CHECK_TRUE(someWithTwoNodes);
 }
 
+TEST(Evidence, ForeignEntriesAreDrawnWithinTheLength) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const std::vector<Fault> faults = drawForeignEntries(seed, seconds(60));
+    CHECK_FALSE(faults.empty());
+    for (const Fault& fault : faults) {
+      CHECK_TRUE(fault.kind == FaultKind::kForeignEntry && fault.at < seconds(60));
+    }
+  }
+}
+
 TEST(Evidence, FaultNamesAreKnownAndUnique) {
   std::set<std::string_view> names;
   for (uint8_t index = 0; index < static_cast<uint8_t>(FaultKind::kCount); ++index) {
--- a/test/soak/world/fault_injector.cc
+++ b/test/soak/world/fault_injector.cc
@@ -27,6 +27,10 @@
 constexpr size_t kMainServiceHostsLeft = 3;
 constexpr size_t kSplitServiceHostsLeft = 1;
 constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
+/** The lowest digit of a foreign entry's choice is its form. */
+constexpr uint64_t kForeignEntryForms = 4;
+/** An entry that nobody writes again is removed after so many heartbeats. */
+constexpr int kForeignEntryHeartbeats = 3;
 
 }  // namespace
 
@@ -287,6 +291,10 @@
     overloadLinks(now, fault);
     return;
   }
+  if (fault.kind == FaultKind::kForeignEntry) {
+    writeForeignEntry(now, fault);
+    return;
+  }
   if (fault.kind != FaultKind::kRestartHost) {
     reduceCapacity(now, fault);
     return;
@@ -317,6 +325,24 @@
   });
 }
 
+void FaultInjector::writeForeignEntry(TimePoint now, const Fault& fault) {
+  if (storeFaultActive_) {
+    return;  // The store takes no change.
+  }
+  const std::lock_guard lock(world_.mutex());
+  const std::vector<size_t> serving = world_.hosts().serving();
+  if (serving.empty()) {
+    return;
+  }
+  const size_t slot = serving[fault.choice / kForeignEntryForms % serving.size()];
+  const std::string name = world_.hosts().writeForeignEntry(slot, fault.choice);
+  scheduleStep(now + kForeignEntryHeartbeats * plan_.bounds().heartbeatInterval,
+               [this, name](TimePoint) {
+                 const std::lock_guard worldLock(world_.mutex());
+                 world_.hosts().endForeignEntry(name);
+               });
+}
+
 void FaultInjector::reduceCapacity(TimePoint now, const Fault& fault) {
   if (storeFaultActive_) {  // A host leaves only after the store has accepted its change.
     scheduleStep(now + kRetryInterval,
--- a/test/soak/world/fault_injector.h
+++ b/test/soak/world/fault_injector.h
@@ -53,6 +53,7 @@
   void crashHost(TimePoint now, const Fault& fault, bool reuse);
   void injectHardLoadFault(TimePoint now, const Fault& fault);
   void overloadLinks(TimePoint now, const Fault& fault);
+  void writeForeignEntry(TimePoint now, const Fault& fault);
   void reduceCapacity(TimePoint now, const Fault& fault);
   /** Starts the given number of hosts of the service and stops the extra callers. */
   void restoreCapacity(TimePoint now, const std::string& service, size_t hosts);
--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -15,6 +15,8 @@
 constexpr double kMeanHardLoadGapSeconds = 5.0;
 constexpr uint64_t kHardLoadStream = 1;
 constexpr uint64_t kOverloadedLinkStream = 2;
+constexpr uint64_t kForeignEntryStream = 3;
+constexpr double kMeanForeignEntryGapSeconds = 3.0;
 constexpr double kMeanOverloadedLinkGapSeconds = 2.0;
 constexpr double kMinOverloadedLinkSeconds = 0.4;
 constexpr double kMaxOverloadedLinkSeconds = 2.5;
@@ -89,6 +91,8 @@
       return "kill_reader";
     case FaultKind::kOverloadedLink:
       return "overloaded_link";
+    case FaultKind::kForeignEntry:
+      return "foreign_entry";
     case FaultKind::kCount:
       break;
   }
@@ -152,4 +156,19 @@
   return faults;
 }
 
+std::vector<Fault> drawForeignEntries(uint64_t seed, Duration length) {
+  RandomSource random(mixHash(seed, kForeignEntryStream));
+  std::vector<Fault> faults;
+  Duration at = secondsOf(2 * kMeanForeignEntryGapSeconds * random.unit());
+  while (at < length) {
+    Fault fault;
+    fault.kind = FaultKind::kForeignEntry;
+    fault.at = at;
+    fault.choice = random.below(UINT32_MAX);
+    faults.push_back(fault);
+    at += secondsOf(2 * kMeanForeignEntryGapSeconds * random.unit());
+  }
+  return faults;
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_plan.h
+++ b/test/soak/world/fault_plan.h
@@ -44,6 +44,9 @@
   kKillReader,
   /** Packet loss on the overloaded link of one or two nodes, from the nodes to all hosts. */
   kOverloadedLink,
+  /** Another writer adds an entry that holds the address of a serving host, or replaces the entry
+   * of one. */
+  kForeignEntry,
   kCount,
 };
 
@@ -76,5 +79,7 @@
 /** Like drawHardLoad(), for overloaded links, which also have their own random stream. They do not
  * overlap each other. */
 std::vector<Fault> drawOverloadedLinks(uint64_t seed, Duration length);
+/** Foreign entries, under both loads, which also have their own random stream. */
+std::vector<Fault> drawForeignEntries(uint64_t seed, Duration length);
 
 }  // namespace umberhold::soak
--- a/test/soak/world/host_fleet.cc
+++ b/test/soak/world/host_fleet.cc
@@ -172,6 +172,37 @@
   }
 }
 
+std::string HostFleet::writeForeignEntry(size_t slot, uint64_t choice) {
+  enum Form : uint64_t { kLacksFields, kWhole, kInvalidBytes, kReplacesOwn, kForms };
+  const HostPlan& host = slots_[slot].host->plan();
+  const uint64_t form = choice % kForms;
+  const std::string fields = R"({"service":")" + host.service + R"(","address":")" +
+                             toString(host.address) + R"(","zone":")" + host.zone +
+                             R"(","state":"ready")";
+  std::string entry = fields + "}";
+  if (form == kWhole) {
+    entry = fields + R"(,"version":"v1","slots":2,"cold_remaining_ms":0,"sequence":1})";
+  } else if (form == kInvalidBytes) {
+    entry = fields + ",\"version\":\"\xFF\"}";
+  }
+  const std::string name =
+      form == kReplacesOwn ? host.id : idOf(mixHash(nextForeignEntry_++, 1) & 0xFFFFFFFFU);
+  objects_.set("servers", name, entry);
+  return name;
+}
+
+void HostFleet::endForeignEntry(const std::string& name) {
+  const auto owner = std::find_if(slots_.begin(), slots_.end(), [&name](const HostSlot& slot) {
+    return slot.host && slot.host->plan().id == name;
+  });
+  if (owner == slots_.end() || owner->leavesWithoutDraining ||
+      owner->host->state() == HostState::kEnded) {
+    objects_.remove("servers", name, 0);
+  } else {
+    registerEntry(*owner);
+  }
+}
+
 void HostFleet::tick(TimePoint now) {
   for (size_t index = 0; index < slots_.size(); ++index) {
     HostSlot& slot = slots_[index];
--- a/test/soak/world/host_fleet.h
+++ b/test/soak/world/host_fleet.h
@@ -58,6 +58,15 @@
   void expireEntries();
   /** Registers all hosts again, except crashed ones and those that left without draining. */
   void registerAll();
+  /**
+   * Writes an entry of another writer, which lacks fields, cannot be read, or has all fields of a
+   * host's and the address of this one.
+   * @param choice selects the form, and whether it replaces the entry of the host itself.
+   * @return the name of the entry.
+   */
+  std::string writeForeignEntry(size_t slot, uint64_t choice);
+  /** Removes the entry; if it stands in place of a host's own, the host writes that again. */
+  void endForeignEntry(const std::string& name);
   void tick(TimePoint now);
 
   /** @return the slots whose hosts accept new flows. */
@@ -83,6 +92,7 @@
   const SoakLoad load_;
   std::vector<HostSlot> slots_;
   uint64_t nextIncarnation_ = 1;
+  uint64_t nextForeignEntry_ = 1;
   /** Service of the next host by slot, for addresses of crashed hosts that are to be reused. */
   std::map<size_t, std::string> pendingReuses_;
 };
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -52,6 +52,8 @@
       const auto links = drawOverloadedLinks(options_.seed, end - start - calmDuration - kWindDown);
       planned_.insert(planned_.end(), links.begin(), links.end());
     }
+    const auto entries = drawForeignEntries(options_.seed, end - start - calmDuration - kWindDown);
+    planned_.insert(planned_.end(), entries.begin(), entries.end());
     faults_.schedule(start, planned_);
     const TimePoint faultsOver = injectFaults();
     const TimePoint calmEnd = std::max(end, faultsOver + calmDuration);
