Keep whole entries of another writer out of the soak's random faults

Traced, front-bole-5: host_superseded i- by i-, a whole foreign entry with its address, 08:12:59.908; host_left and host_ended i- at 08:13:03.127, when that host left without `draining`, so that its own entry went while it served on; flow_reset reason=host_ended.

A later host with the address of one whose own entry is gone is what an address that was given on looks like; entries alone don't tell the two apart.

Change: the soak draws three forms (lacking fields, invalid bytes, in place of a host's own); open_flows_stay is judged through them as before. That a whole entry resets no flow of a host that stays registered is guarded by TokenDirector.ResetsNoFlowOfAHostThatIsListedBesideALaterOneWithItsAddress and HostPresence.LaterRegisteredHostSupersedes.. as before.

Left, in docs/incidents/0005: a host that leaves without `draining` while a whole foreign entry holds its address loses its open flows.

--- a/test/soak/world/host_fleet.h
+++ b/test/soak/world/host_fleet.h
@@ -59,8 +59,8 @@
   /** Registers all hosts again, except crashed ones and those that left without draining. */
   void registerAll();
   /**
-   * Writes an entry of another writer, which lacks fields, cannot be read, or has all fields of a
-   * host's and the address of this one.
+   * Writes an entry of another writer, which lacks fields or cannot be read, and holds the address
+   * of this host.
    * @param choice selects the form, and whether it replaces the entry of the host itself.
    * @return the name of the entry.
    */
