--- a/test/platform/store/standin_objects.cc
+++ b/test/platform/store/standin_objects.cc
@@ -2,6 +2,37 @@
 
 namespace umberhold::test {
 
+const StandinObjects::Snapshot& StandinObjects::snapshotFor(bool stale) const {
+  if (!stale) {
+    return current_;
+  }
+  if (staleSnapshot_) {
+    return *staleSnapshot_;
+  }
+  const auto shownAt = std::chrono::steady_clock::now() - staleLag_;
+  for (const auto& [replacedAt, snapshot] : past_) {
+    if (replacedAt > shownAt) {
+      return snapshot;
+    }
+  }
+  return current_;
+}
+
+void StandinObjects::keepForStaleReads() {
+  const auto now = std::chrono::steady_clock::now();
+  while (!past_.empty() && past_.front().first <= now - staleLag_) {
+    past_.pop_front();
+  }
+  if (staleLag_ > Duration{0}) {
+    past_.emplace_back(now, current_);
+  }
+}
+
+void StandinObjects::setStaleLag(Duration lag) {
+  const std::lock_guard lock(mutex_);
+  staleLag_ = lag;
+}
+
 StandinPage StandinObjects::list(const std::string& kind, const std::string& after, size_t limit,
                                  bool stale) const {
   const std::lock_guard lock(mutex_);
@@ -35,6 +66,7 @@
   if (found != current_.objects.end()) {
     return StandinConflict{found->second};
   }
+  keepForStaleReads();
   StandinObject created = object;
   created.revision = ++current_.revision;
   created.made = created.revision;
@@ -74,6 +106,7 @@
   if (required.revision != 0 && required.revision != found->second.revision) {
     return StandinConflict{found->second};
   }
+  keepForStaleReads();
   StandinObject changed = found->second;
   apply(changed);
   changed.revision = ++current_.revision;
@@ -88,21 +121,22 @@
 }
 
 std::variant<StandinEvents, StandinHistoryGone> StandinObjects::watch(const std::string& kind,
-                                                                      uint64_t since,
-                                                                      Duration wait) {
+                                                                      uint64_t since, Duration wait,
+                                                                      bool stale) {
   std::unique_lock lock(mutex_);
   const uint64_t number = ++watchCount_;
-  const auto collect = [this, &kind, since] {
+  const auto collect = [this, &kind, since, stale] {
     StandinEvents found;
-    found.at = current_.revision;
+    found.at = snapshotFor(stale).revision;
     for (const StandinEvent& event : history_) {
-      if (event.kind == kind && event.object.revision > since) {
+      const uint64_t revision = event.object.revision;
+      if (event.kind == kind && revision > since && revision <= found.at) {
         found.events.push_back(event);
       }
     }
     return found;
   };
-  changed_.wait_for(lock, wait, [this, &collect, &kind, since, number] {
+  changed_.wait_for(lock, stale ? Duration{0} : wait, [this, &collect, &kind, since, number] {
     const auto muted = lastMutedWatch_.find(kind);
     if (muted != lastMutedWatch_.end() && number <= muted->second) {
       return stopped_;
--- a/test/platform/store/standin_objects.h
+++ b/test/platform/store/standin_objects.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -75,8 +76,9 @@
   StandinAnswer replaceStatus(const std::string& kind, const StandinObject& object);
   /** Removes the object, or marks it as deleting while it has finalizers. */
   StandinAnswer remove(const std::string& kind, const std::string& name, uint64_t revision);
+  /** @param stale whether the answer may be stale; such a watch is answered at once. */
   std::variant<StandinEvents, StandinHistoryGone> watch(const std::string& kind, uint64_t since,
-                                                        Duration wait);
+                                                        Duration wait, bool stale = false);
 
   /**
    * Creates or replaces the object at any revision.
@@ -91,6 +93,8 @@
   void endWatches();
   /** Stale reads return the current objects until the next call of this function. */
   void freezeStaleReads();
+  /** Stale reads return the objects as of this long ago; changes made before are not affected. */
+  void setStaleLag(Duration lag);
   /** Ends pending watches without events; later ones do not wait. */
   void stopWatches();
 
@@ -100,9 +104,9 @@
     uint64_t revision = 0;
   };
 
-  const Snapshot& snapshotFor(bool stale) const {
-    return stale && staleSnapshot_ ? *staleSnapshot_ : current_;
-  }
+  const Snapshot& snapshotFor(bool stale) const;
+  /** Keeps the current objects for stale reads; to be called before each change. */
+  void keepForStaleReads();
   StandinAnswer change(const std::string& kind, const StandinObject& required,
                        const std::function<void(StandinObject&)>& apply);
   void recordEvent(const std::string& kind, const StandinObject& object, bool gone);
@@ -111,6 +115,9 @@
   std::condition_variable changed_;
   Snapshot current_;
   std::optional<Snapshot> staleSnapshot_;
+  Duration staleLag_{0};
+  /** Earlier snapshots, with the time at which each was replaced. */
+  std::deque<std::pair<std::chrono::steady_clock::time_point, Snapshot>> past_;
   std::deque<StandinEvent> history_;
   uint64_t lastDroppedRevision_ = 0;
   uint64_t watchCount_ = 0;
--- a/test/platform/store/standin_store.cc
+++ b/test/platform/store/standin_store.cc
@@ -222,7 +222,8 @@
   void answerWatch(HTTPServerRequest& request, HTTPServerResponse& response, const Target& target,
                    uint64_t since) {
     const auto wait = std::chrono::milliseconds(queryNumber(request, "wait_ms").value_or(0));
-    const auto answer = objects.watch(target.kind, since, wait);
+    const auto answer =
+        objects.watch(target.kind, since, wait, queryNumber(request, "stale").has_value());
     if (std::holds_alternative<StandinHistoryGone>(answer)) {
       send(response, HTTPResponse::HTTP_GONE, "{}");
       return;
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -63,6 +63,14 @@
   TCLAP::ValuesConstraint<std::string> knownLoads(loads);
   TCLAP::ValueArg<std::string> load("", "load", "load of the callers and capacity of the hosts",
                                     false, "hard", &knownLoads, command);
+  std::vector<std::string> days = {"mixed", "short_silences"};
+  TCLAP::ValuesConstraint<std::string> knownDays(days);
+  TCLAP::ValueArg<std::string> day("", "day",
+                                   "kinds of faults: all, or short silences of the store", false,
+                                   "mixed", &knownDays, command);
+  TCLAP::ValueArg<uint32_t> staleLag(
+      "", "stale-lag", "age of answers that may be stale; drawn from the seed by default", false, 0,
+      "ms", command);
   command.parse(argc, argv);
 
   const auto kind = sabotageNamed(sabotage.getValue());
@@ -82,6 +90,10 @@
   options.seconds = seconds.getValue();
   options.sabotage = *kind;
   options.load = load.getValue() == "hard" ? SoakLoad::kHard : SoakLoad::kUsual;
+  options.day = day.getValue() == "mixed" ? SoakDay::kMixed : SoakDay::kShortSilences;
+  if (staleLag.isSet()) {
+    options.staleLag = std::chrono::milliseconds(staleLag.getValue());
+  }
   options.block = block->number();
   options.program = (self.parent_path() / ".." / ".." / "platform" / "umberhold_edge").string();
   options.folder = folder.getValue().empty() ? Poco::TemporaryFile::tempName() : folder.getValue();
--- a/test/soak/world/fault_injector.cc
+++ b/test/soak/world/fault_injector.cc
@@ -27,6 +27,13 @@
 constexpr size_t kMainServiceHostsLeft = 3;
 constexpr size_t kSplitServiceHostsLeft = 1;
 constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
+/** Time from a change to a short silence: nodes that read for themselves watch again 0.9 s after a
+ * change. */
+constexpr Duration kMinSilenceGap = std::chrono::milliseconds(650);
+constexpr Duration kSilenceGapStep = std::chrono::milliseconds(10);
+constexpr uint64_t kSilenceGaps = 26;
+/** Time after the settle time at which the bounds of a change surely apply. */
+constexpr Duration kAfterSettling = std::chrono::milliseconds(100);
 /** The lowest digit of a foreign entry's choice is its form. */
 constexpr uint64_t kForeignEntryForms = 3;
 /** An entry that nobody writes again is removed after so many heartbeats. */
@@ -295,6 +302,10 @@
     writeForeignEntry(now, fault);
     return;
   }
+  if (fault.kind == FaultKind::kShortSilence) {
+    silenceStoreAfterChange(now, fault);
+    return;
+  }
   if (fault.kind != FaultKind::kRestartHost) {
     reduceCapacity(now, fault);
     return;
@@ -343,6 +354,38 @@
                });
 }
 
+void FaultInjector::silenceStoreAfterChange(TimePoint now, const Fault& fault) {
+  changeConfigurationAndHost(now, fault.choice);
+  const Duration gap =
+      kMinSilenceGap + static_cast<Duration::rep>(fault.choice % kSilenceGaps) * kSilenceGapStep;
+  scheduleStep(now + gap, [this, fault](TimePoint later) {
+    test::StandinFaults faults;
+    faults.responseMode = test::StoreResponseMode::kSilent;
+    faults.staysSilent = true;
+    Fault silence = fault;
+    silence.choice = 1;  // No entry expires.
+    applyStoreFaults(later, silence, faults);
+    const Duration untilSettled = fault.duration + plan_.bounds().settleTime + kAfterSettling;
+    scheduleStep(later + untilSettled, [this, fault](TimePoint settledAt) {
+      changeConfigurationAndHost(settledAt, fault.choice + 1);
+    });
+    // Keeps isOver() false until the bounds of this change have passed.
+    scheduleStep(later + untilSettled + plan_.bounds().change + kAfterSettling, [](TimePoint) {});
+  });
+}
+
+void FaultInjector::changeConfigurationAndHost(TimePoint now, uint64_t choice) {
+  if (storeFaultActive_) {
+    return;  // The store takes no change.
+  }
+  const std::lock_guard lock(world_.mutex());
+  world_.storeConfiguration(0);
+  const std::vector<size_t> serving = world_.hosts().serving();
+  if (serving.size() > kMinHosts) {
+    world_.hosts().replace(now, serving[choice % serving.size()]);
+  }
+}
+
 void FaultInjector::reduceCapacity(TimePoint now, const Fault& fault) {
   if (storeFaultActive_) {  // A host leaves only after the store has accepted its change.
     scheduleStep(now + kRetryInterval,
--- a/test/soak/world/fault_injector.h
+++ b/test/soak/world/fault_injector.h
@@ -52,6 +52,9 @@
   void drainHosts(TimePoint now, const Fault& fault);
   void crashHost(TimePoint now, const Fault& fault, bool reuse);
   void injectHardLoadFault(TimePoint now, const Fault& fault);
+  void silenceStoreAfterChange(TimePoint now, const Fault& fault);
+  /** Changes the configuration and makes a host leave, at the same time. */
+  void changeConfigurationAndHost(TimePoint now, uint64_t choice);
   void overloadLinks(TimePoint now, const Fault& fault);
   void writeForeignEntry(TimePoint now, const Fault& fault);
   void reduceCapacity(TimePoint now, const Fault& fault);
--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -16,7 +16,17 @@
 constexpr uint64_t kHardLoadStream = 1;
 constexpr uint64_t kOverloadedLinkStream = 2;
 constexpr uint64_t kForeignEntryStream = 3;
+constexpr uint64_t kShortSilenceStream = 4;
+constexpr uint64_t kStaleLagStream = 5;
 constexpr double kMeanForeignEntryGapSeconds = 3.0;
+/** Shorter than the time between two probes of the store, so that most are not noticed by probes.
+ */
+constexpr double kMinSilenceSeconds = 0.1;
+constexpr double kMaxSilenceSeconds = 1.2;
+/** Longer than a silence, the settle time and the bound of the change that follows. */
+constexpr Duration kShortSilenceRound = std::chrono::seconds(11);
+/** Answers "may be seconds old". */
+constexpr double kMaxStaleLagSeconds = 3.0;
 constexpr double kMeanOverloadedLinkGapSeconds = 2.0;
 constexpr double kMinOverloadedLinkSeconds = 0.4;
 constexpr double kMaxOverloadedLinkSeconds = 2.5;
@@ -93,6 +103,8 @@
       return "overloaded_link";
     case FaultKind::kForeignEntry:
       return "foreign_entry";
+    case FaultKind::kShortSilence:
+      return "short_silence";
     case FaultKind::kCount:
       break;
   }
@@ -171,4 +183,23 @@
   return faults;
 }
 
+std::vector<Fault> drawShortSilences(uint64_t seed, Duration length) {
+  RandomSource random(mixHash(seed, kShortSilenceStream));
+  std::vector<Fault> faults;
+  for (Duration at{0}; at < length; at += kShortSilenceRound) {
+    Fault fault;
+    fault.kind = FaultKind::kShortSilence;
+    fault.at = at;
+    fault.duration = secondsOf(drawBetween(random, kMinSilenceSeconds, kMaxSilenceSeconds));
+    fault.choice = random.below(UINT32_MAX);
+    faults.push_back(fault);
+  }
+  return faults;
+}
+
+Duration drawStaleLag(uint64_t seed) {
+  RandomSource random(mixHash(seed, kStaleLagStream));
+  return secondsOf(drawBetween(random, 0, kMaxStaleLagSeconds));
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_plan.h
+++ b/test/soak/world/fault_plan.h
@@ -47,6 +47,10 @@
   /** Another writer adds an entry that holds the address of a serving host, or replaces the entry
    * of one. */
   kForeignEntry,
+  /** The store takes calls and never answers them, for a short time right after a change of the
+   * configuration and of a host, when the nodes' next watches arrive; another such change follows
+   * once the bounds apply again. */
+  kShortSilence,
   kCount,
 };
 
@@ -81,5 +85,9 @@
 std::vector<Fault> drawOverloadedLinks(uint64_t seed, Duration length);
 /** Foreign entries, under both loads, which also have their own random stream. */
 std::vector<Fault> drawForeignEntries(uint64_t seed, Duration length);
+/** Short silences, one after the other, which also have their own random stream. */
+std::vector<Fault> drawShortSilences(uint64_t seed, Duration length);
+/** @return how long ago the state was that the store shows in answers that may be stale. */
+Duration drawStaleLag(uint64_t seed);
 
 }  // namespace umberhold::soak
--- a/test/soak/world/route_tracker.cc
+++ b/test/soak/world/route_tracker.cc
@@ -141,6 +141,9 @@
   const std::string detail = nodeName + " " + outcome + " marker " + std::to_string(probe.marker) +
                              ", version " + std::to_string(neededVersion) + " of " +
                              std::to_string(version());
+  if (neededSince != TimePoint::max()) {
+    longestDelay_ = std::max(longestDelay_, probe.sentAt - neededSince);
+  }
   if (neededSince != TimePoint::max() &&
       probe.sentAt > neededSince + plan_.bounds().change + kSlack) {
     promises_.recordViolation(now, Promise::kConfigurationInTime, detail);
--- a/test/soak/world/route_tracker.h
+++ b/test/soak/world/route_tracker.h
@@ -78,6 +78,8 @@
   const std::vector<CallerRoute>& routes() const { return routes_; }
   static bool isMarker(const Endpoint& service);
   uint64_t probes() const { return probes_; }
+  /** @return the longest time after which an undisturbed node still used an older version. */
+  Duration longestDelay() const { return longestDelay_; }
   uint64_t version() const { return versions_.empty() ? 0 : versions_.back().number; }
   /** @return whether the service belongs to the route of the address in any version. An address
    * without a caller route counts as the first route. */
@@ -121,6 +123,7 @@
   std::map<uint16_t, Probe> pendingProbes_;
   std::map<size_t, uint32_t> processNumbers_;
   uint64_t probes_ = 0;
+  Duration longestDelay_{0};
 };
 
 }  // namespace umberhold::soak
--- a/test/soak/world/soak_report.cc
+++ b/test/soak/world/soak_report.cc
@@ -66,6 +66,10 @@
   object.set("lost_on_links", result.lostOnLinks);
   object.set("probes", result.probes);
   object.set("versions", result.versions);
+  object.set("configuration_delay_seconds_most",
+             std::chrono::duration<double>(result.longestConfigurationDelay).count());
+  object.set("drain_delay_seconds_most",
+             std::chrono::duration<double>(result.longestDrainDelay).count());
   object.set("served_after_recovery", result.servedAfterRecovery);
   object.set("turned_away", result.callers.rejected);
   object.set("starved_seconds_most",
@@ -130,6 +134,10 @@
   writeRow(text, "lost on overloaded links", result.lostOnLinks);
   writeRow(text, "probes of the configuration", result.probes);
   writeRow(text, "versions of the configuration", result.versions);
+  writeRow(text, "older configuration used for, s",
+           std::chrono::duration<double>(result.longestConfigurationDelay).count());
+  writeRow(text, "leaving host used for, s",
+           std::chrono::duration<double>(result.longestDrainDelay).count());
   writeRow(text, "served after the recovery time", result.servedAfterRecovery);
   writeRow(text, "memory of a node at most, MB", result.nodePeak.memoryMegabytes);
   writeRow(text, "descriptors of a node at most", result.nodePeak.descriptors);
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -33,6 +33,7 @@
         faults_(plan_, world_, nodes_, store_) {}
 
   Result<SoakResult, SoakError> run() {
+    store_.objects().setStaleLag(options_.staleLag.value_or(drawStaleLag(options_.seed)));
     world_.start();
     nodes_.startAll();
     if (!waitReady()) {
@@ -45,15 +46,7 @@
       const std::lock_guard lock(world_.mutex());
       world_.startTraffic(start);
     }
-    planned_ = drawFaults(options_.seed, end - start - calmDuration - kWindDown);
-    if (options_.load == SoakLoad::kHard) {
-      const auto hard = drawHardLoad(options_.seed, end - start - calmDuration - kWindDown);
-      planned_.insert(planned_.end(), hard.begin(), hard.end());
-      const auto links = drawOverloadedLinks(options_.seed, end - start - calmDuration - kWindDown);
-      planned_.insert(planned_.end(), links.begin(), links.end());
-    }
-    const auto entries = drawForeignEntries(options_.seed, end - start - calmDuration - kWindDown);
-    planned_.insert(planned_.end(), entries.begin(), entries.end());
+    planFaults(end - start - calmDuration - kWindDown);
     faults_.schedule(start, planned_);
     const TimePoint faultsOver = injectFaults();
     const TimePoint calmEnd = std::max(end, faultsOver + calmDuration);
@@ -63,6 +56,22 @@
   }
 
  private:
+  void planFaults(Duration length) {
+    const auto add = [this](const std::vector<Fault>& faults) {
+      planned_.insert(planned_.end(), faults.begin(), faults.end());
+    };
+    if (options_.day == SoakDay::kShortSilences) {
+      add(drawShortSilences(options_.seed, length));
+      return;
+    }
+    add(drawFaults(options_.seed, length));
+    if (options_.load == SoakLoad::kHard) {
+      add(drawHardLoad(options_.seed, length));
+      add(drawOverloadedLinks(options_.seed, length));
+    }
+    add(drawForeignEntries(options_.seed, length));
+  }
+
   bool waitReady() {
     const TimePoint deadline = steadyNow() + kStartTimeout;
     while (world_.readiness().readyCount() < plan_.nodes().size()) {
@@ -120,6 +129,8 @@
     result.lostOnLinks = world_.lostOnLinks();
     result.probes = world_.routes().probes();
     result.versions = world_.routes().version();
+    result.longestConfigurationDelay = world_.routes().longestDelay();
+    result.longestDrainDelay = world_.longestDrainDelay();
     result.faults = faults_.counts();
     result.planned = planned_;
     result.seconds = world_.seconds();
--- a/test/soak/world/soak_run.h
+++ b/test/soak/world/soak_run.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "common/base/result.h"
@@ -14,12 +15,23 @@
 
 namespace umberhold::soak {
 
+/** Which faults a run has. */
+enum class SoakDay : uint8_t {
+  /** All kinds. */
+  kMixed,
+  /** Nothing but short silences of the store. */
+  kShortSilences,
+};
+
 struct SoakOptions {
   uint64_t seed = 1;
   /** Duration of the traffic; its last part is without faults. */
   uint32_t seconds = 60;
   Sabotage sabotage = Sabotage::kNone;
   SoakLoad load = SoakLoad::kHard;
+  SoakDay day = SoakDay::kMixed;
+  /** How old answers are that may be stale; nothing for a time drawn from the seed. */
+  std::optional<Duration> staleLag;
   /** The node's program. */
   std::string program;
   /** Receives settings and logs. */
@@ -46,6 +58,9 @@
   uint64_t lostOnLinks = 0;
   uint64_t probes = 0;
   uint64_t versions = 0;
+  /** Longest times for which an undisturbed node still acted on an older state. */
+  Duration longestConfigurationDelay{0};
+  Duration longestDrainDelay{0};
   uint64_t logLines = 0;
   NodePeak nodePeak;
   /** Share of requests served, of those that began after the recovery time of the last fault. */
--- a/test/soak/world/soak_world.cc
+++ b/test/soak/world/soak_world.cc
@@ -348,9 +348,13 @@
   }
   const HostSlot& hostSlot = fleet_->slots()[slot];
   maxOpenFlows_ = std::max(maxOpenFlows_, hostSlot.host->openFlowCount());
-  const bool late =
-      hostSlot.leavingSince && now > *hostSlot.leavingSince + plan_.bounds().drain + kSlack;
-  if (late && allDisturbances_.isSettled(name, now) && allDisturbances_.isSettled("store", now)) {
+  if (!hostSlot.leavingSince || !allDisturbances_.isSettled(name, now) ||
+      !allDisturbances_.isSettled("store", now)) {
+    return;
+  }
+  const Duration delay = now - *hostSlot.leavingSince;
+  longestDrainDelay_ = std::max(longestDrainDelay_, delay);
+  if (delay > plan_.bounds().drain + kSlack) {
     promises_.recordViolation(now, Promise::kNoFlowsOnLeavingHosts,
                               name + " to " + hostSlot.host->plan().id);
   }
--- a/test/soak/world/soak_world.h
+++ b/test/soak/world/soak_world.h
@@ -85,6 +85,9 @@
   /** @return the pauses of the event loop. */
   const WaitWatch& pauses() const { return pauses_; }
   uint64_t runs() const { return runs_.runs(); }
+  /** @return the longest time after which an undisturbed node still opened a flow at a leaving
+   * host. */
+  Duration longestDrainDelay() const { return longestDrainDelay_; }
   /** @return the counts by seconds since startTraffic(). */
   const std::map<int64_t, SecondCounts>& seconds() const { return seconds_; }
 
@@ -161,6 +164,7 @@
   size_t maxOpenFlows_ = 0;
   std::optional<TimePoint> lastTick_;
   Duration longestPause_{0};
+  Duration longestDrainDelay_{0};
   WaitWatch pauses_;
   TimePoint trafficStartedAt_{};
   std::map<int64_t, SecondCounts> seconds_;
