Let only a watch's own answers vouch for it, and bound its wait by them

Cause: lost watches were found, and waiting ones vouched for, by answers with stale=1 on the probes' connection. The protocol lets those be seconds old; the bound was exceeded by their age. Logs: lost watches had waited 7.3 and 8.3 s when a stale answer first named their changes.

Change: a watch ends once the node's knowledge is 0.3 of the shortest bound old, is given up 0.2 later, and its successor is answered at once. Knowledge has the time of its own last answered call that can't be stale; readers tell followers that time, and followers count it from the sending of their question. An outage ends with an answer to the watch for hosts. Zones of three nodes have a reader, which pays for the calls; observations of hosts are still shared from six nodes on.

Why it works: no part of the sum is another connection's or a stale answer's.

Tests: RenewsAWatchThatMissesAChange and RenewsAWatchThatAShortSilenceSwallowed have stale answers that show nothing and watches of 1 s in place of 60 s (a watch's length is what now bounds the delay, so that 60 s has no meaning here); the times asked for are the same. AWatchThatAnswersIsNotRenewed counts probes as reads, since they are reads again. OneNodeReadsTheStoreForTheOthers counts watches that end without changes. EveryNodeOfASmallZoneReads and ASmallZoneHasNoReader ask it of two nodes, and new lines ask for a reader of three.

--- a/source/common/base/time.h
+++ b/source/common/base/time.h
@@ -24,4 +24,9 @@
 /** Seconds since the Unix epoch, for deadlines that operators set. */
 using UnixSeconds = int64_t;
 
+/** @return the whole milliseconds from one time to a later one. */
+inline int64_t millisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
 }  // namespace umberhold
--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -5,8 +5,12 @@
  * A list creates the copy, watches keep it current. The first page of the initial list may come
  * from a stale replica, which is cheaper for the store: the watch starts at that page's version, so
  * no change is missed. A list made after the store lost its history must be current; objects that
- * it lacks are treated as deleted. Pure decision logic without I/O: the caller makes the calls and
- * reports their results.
+ * it lacks are treated as deleted.
+ *
+ * A store may take a watch and never answer it. Only the watch's own answer shows that it works, so
+ * a watch waits no longer than until the age of the follower's knowledge reaches
+ * FollowerOptions::maxKnowledgeAge, and is given up FollowerOptions::answerTolerance after that.
+ * Pure decision logic without I/O: the caller makes the calls and reports their results.
  */
 #pragma once
 
@@ -28,12 +32,16 @@
   std::string after;
   /** Whether a stale answer is acceptable. */
   bool allowStale = false;
+  /** Maximum time until the answer begins; unset for the limit of all calls. */
+  std::optional<Duration> answerTolerance = std::nullopt;
 };
 
 /** Watch for changes after a version. */
 struct WatchFrom {
   uint64_t version = 0;
   Duration longPollTimeout{0};
+  /** Maximum time until the answer begins, after longPollTimeout. */
+  Duration answerTolerance{0};
 };
 
 /** Make no call before this time. */
@@ -45,11 +53,14 @@
 
 /** Timing of a follower. */
 struct FollowerOptions {
+  /** Age of the knowledge of the collection at which a watch ends if nothing has changed. */
+  Duration maxKnowledgeAge = std::chrono::seconds(30);
   /**
-   * Maximum duration of one watch; shorter than the store's history, since a watch that begins
-   * before the history is not answered with changes any more.
+   * Time that the store has to begin an answer. It doubles with each consecutive call that takes
+   * longer, so that a slower store is still read.
    */
-  Duration maxWatchDuration = std::chrono::seconds(30);
+  Duration answerTolerance = std::chrono::milliseconds(500);
+  Duration maxAnswerTolerance = std::chrono::seconds(5);
   /**
    * Delay after a watch that returned changes, so that consecutive changes are fetched by one call.
    */
@@ -91,21 +102,41 @@
 
   /**
    * Reports the page that next() requested.
+   * @param sentAt when it was requested.
    * @param version of the store when the page was read.
    * @param lastName last name on the page; the next page starts after it.
    * @param more whether more pages follow.
    */
-  PageOutcome onPage(uint64_t version, const std::string& lastName, bool more);
+  PageOutcome onPage(TimePoint sentAt, uint64_t version, const std::string& lastName, bool more);
   /** @return the version up to which all changes are known; 0 before the first list is complete. */
   uint64_t version() const { return watchVersion_; }
   /** @return the version of the list's first page. */
   uint64_t listVersion() const { return listVersion_; }
-  /** Reports the end of a watch. @param version at which the next watch starts. */
-  void onWatch(TimePoint now, uint64_t version, bool hadEvents);
+  /**
+   * Reports the answer to a watch.
+   * @param sentAt when the watch was sent.
+   * @param version at which the next watch starts.
+   */
+  void onWatch(TimePoint sentAt, TimePoint now, const WatchFrom& watch, uint64_t version,
+               bool hadEvents);
+  /** Reports that a peer supplied all changes up to the version. */
+  void onPeerVersion(uint64_t version);
   /**
    * Reports that the call requested by next() failed. The kind of failure decides the next action.
    */
   void onFailure(TimePoint now, const StoreError& error);
+  /**
+   * Reports that the answer to the call requested by next() did not begin in time. The first such
+   * call in a row is repeated at once.
+   */
+  void onOverdue(TimePoint now, const StoreError& error);
+  /** Requires an immediate answer to the next watch: the knowledge may be outdated. */
+  void distrustKnowledge() { knownAsOf_.reset(); }
+  /**
+   * @return the time as of which all changes are known by answers to this follower's own calls
+   * that cannot be stale; nothing before the first.
+   */
+  std::optional<TimePoint> knownAsOf() const { return knownAsOf_; }
 
   /**
    * Requires the pending list to be current, because the caller already holds objects from another
@@ -130,6 +161,7 @@
 
  private:
   Duration changeBatchDelayAt(TimePoint now) const;
+  Duration watchDurationAt(TimePoint now) const;
   void recordSuccess();
   void restartList();
 
@@ -140,7 +172,11 @@
   /** Page to read; nothing while watching. */
   std::optional<ReadPage> page_ = ReadPage{"", true};
   uint64_t listVersion_ = 0;
+  TimePoint listSentAt_{};
   uint64_t watchVersion_ = 0;
+  std::optional<TimePoint> knownAsOf_;
+  Duration answerTolerance_;
+  bool wasOverdue_ = false;
   TimePoint pausedUntil_;
   TimePoint changesExpectedUntil_{};
   bool failing_ = false;
--- a/source/common/platform/http_call.h
+++ b/source/common/platform/http_call.h
@@ -41,6 +41,11 @@
   /** How long the server may hold the response back (long polling). */
   Duration longPollTimeout{0};
   std::vector<HttpHeader> headers{};
+  /**
+   * Maximum time until the response begins, after longPollTimeout, and between two parts of it;
+   * unset for CallLimits::answer.
+   */
+  std::optional<Duration> answerTolerance = std::nullopt;
 };
 
 /** The response, whatever its status. */
--- a/source/common/platform/http_exchange.cc
+++ b/source/common/platform/http_exchange.cc
@@ -73,11 +73,13 @@
   session.setTimeout(toTimespan(limits.connect), toTimespan(limits.answer), toTimespan(allowed));
   // A session applies its timeouts only to sockets that it connects itself.
   session.socket().setSendTimeout(toTimespan(limits.answer));
-  session.socket().setReceiveTimeout(toTimespan(allowed));
+  const Duration tolerance = call.answerTolerance.value_or(limits.answer);
+  session.socket().setReceiveTimeout(toTimespan(call.longPollTimeout + tolerance));
   Poco::Net::HTTPRequest request = makeRequest(server, call, keepAlive);
   session.sendRequest(request) << call.body << std::flush;
   Poco::Net::HTTPResponse response;
   std::istream& stream = session.receiveResponse(response);
+  session.socket().setReceiveTimeout(toTimespan(tolerance));
   HttpExchange exchange;
   exchange.answer.status = response.getStatus();
   exchange.answer.retryAfter = readRetryAfter(response);
--- a/source/common/platform/read_source.cc
+++ b/source/common/platform/read_source.cc
@@ -75,7 +75,7 @@
 }
 
 bool ReadSource::isUnconfirmed(TimePoint now) const {
-  return now - confirmedAt_ > options_.unconfirmedTimeout;
+  return now >= unconfirmedAt();
 }
 
 bool ReadSource::listsImmediately(TimePoint now) const {
--- a/source/common/platform/read_source.h
+++ b/source/common/platform/read_source.h
@@ -96,6 +96,10 @@
   bool hasRoster() const { return hasRoster_; }
   ReadCause cause(TimePoint now) const;
   bool readsStore(TimePoint now) const;
+  /** @return from when on the node's state counts as unconfirmed, without another confirmation. */
+  TimePoint unconfirmedAt() const {
+    return confirmedAt_ + options_.unconfirmedTimeout + Duration{1};
+  }
   /** @return whether other nodes polled this one recently and so depend on it. */
   bool servesOthers(TimePoint now) const;
 
--- a/source/common/platform/reader_roster.h
+++ b/source/common/platform/reader_roster.h
@@ -32,7 +32,7 @@
 /** Parameters of the roster. */
 struct RosterOptions {
   /** In a zone with fewer nodes every node reads the store itself. */
-  size_t minZoneNodes = 6;
+  size_t minZoneNodes = 3;
   size_t nodesPerReader = 32;
   /** Maximum number of candidates of one node. */
   size_t maxCandidates = 8;
--- a/source/common/platform/store_read_status.h
+++ b/source/common/platform/store_read_status.h
@@ -14,6 +14,8 @@
   uint64_t watches = 0;
   /** Calls without a complete, usable response. */
   uint64_t failures = 0;
+  /** Calls whose answer did not begin in time: the store may have lost them. */
+  uint64_t overdueCalls = 0;
   /** Objects that could not be parsed. */
   uint64_t unreadable = 0;
   /**
--- a/source/common/server/token_node_metrics.cc
+++ b/source/common/server/token_node_metrics.cc
@@ -100,6 +100,7 @@
           .add(static_cast<double>(store.lists), {metricLabel("outcome", "listed")})
           .add(static_cast<double>(store.watches), {metricLabel("outcome", "watched")})
           .add(static_cast<double>(store.failures), {metricLabel("outcome", "failed")})
+          .add(static_cast<double>(store.overdueCalls), {metricLabel("outcome", "overdue")})
           .take());
   families.push_back(counterOf("umberhold_store_objects_unreadable_total",
                                "Objects that could not be understood and have no effect",
