Watch from the oldest page of a list

Callers would have seen flows to hosts that drain, or none to ready ones, after a start; seen in a test only.

Cause: pages of a stale list may lag by different times, and the watch began at the first page's version, so that what changed between an older page and that version was never learnt.

Change: the watch begins at the lowest version of the pages.

Evidence: WatchesFromTheOldestPageOfAList fails before (watches from 40, 36 wanted) and passes now.

--- a/source/common/platform/collection_follower.cc
+++ b/source/common/platform/collection_follower.cc
@@ -42,6 +42,8 @@
     listVersion_ = version;
     listSentAt_ = sentAt;
   }
+  // Pages of a stale list may come from replicas that lag by different times.
+  listVersion_ = std::min(listVersion_, version);
   if (more) {
     page_ = ReadPage{lastName, allowStale};
     return PageOutcome::kPartial;
--- a/source/common/platform/collection_follower.h
+++ b/source/common/platform/collection_follower.h
@@ -3,9 +3,9 @@
  * watch.
  *
  * A list creates the copy, watches keep it current. The first page of the initial list may come
- * from a stale replica, which is cheaper for the store: the watch starts at that page's version, so
- * no change is missed. A list made after the store lost its history must be current; objects that
- * it lacks are treated as deleted.
+ * from a stale replica, which is cheaper for the store: the watch starts at the lowest version of
+ * the list's pages, so no change is missed. A list made after the store lost its history must be
+ * current; objects that it lacks are treated as deleted.
  *
  * A store may take a watch and never answer it. Only the watch's own answer shows that it works, so
  * a watch waits no longer than until the age of the follower's knowledge reaches
@@ -110,7 +110,7 @@
   PageOutcome onPage(TimePoint sentAt, uint64_t version, const std::string& lastName, bool more);
   /** @return the version up to which all changes are known; 0 before the first list is complete. */
   uint64_t version() const { return watchVersion_; }
-  /** @return the version of the list's first page. */
+  /** @return the lowest version of the list's pages. */
   uint64_t listVersion() const { return listVersion_; }
   /**
    * Reports the answer to a watch.
--- a/test/common/platform/collection_follower_test.cc
+++ b/test/common/platform/collection_follower_test.cc
@@ -53,6 +53,14 @@
   LONGS_EQUAL(40, expectAction<WatchFrom>().version);
 }
 
+/** Guards against objects that no watch brings: pages of a stale list may come from any replica. */
+TEST(CollectionFollower, WatchesFromTheOldestPageOfAList) {
+  follower.onPage(now, 40, "m", true);
+  follower.onPage(now, 36, "s", true);
+  follower.onPage(now, 45, "z", false);
+  LONGS_EQUAL(36, expectAction<WatchFrom>().version);
+}
+
 TEST(CollectionFollower, WatchesImmediatelyAfterAnEmptyWatchAndDelaysAfterOneWithEvents) {
   completeList(40);
   answerWatch(44, false);
