Count the soak's bound for leaving hosts from a settled store's acknowledgement

The check counted from a host's leaving also where the store was not settled then, and asked only that it be settled when the flow arrives.

Change: the bound counts from the host's leaving, or from when the store is settled if it was not then. It still holds for each leaving host, and as before where the store was settled.

--- a/test/soak/world/disturbance_tracker.h
+++ b/test/soak/world/disturbance_tracker.h
@@ -32,6 +32,11 @@
     return found == targets_.end() ||
            (found->second.active == 0 && now - found->second.changedAt > settleTime_);
   }
+  /** @return since when the target has been settled, which it must be. */
+  TimePoint settledSince(const std::string& name) const {
+    const auto found = targets_.find(name);
+    return found == targets_.end() ? TimePoint{} : found->second.changedAt + settleTime_;
+  }
 
  private:
   struct Disturbance {
