Test lost connections and a history that goes early beside a lost watch

Change: two cases of the adapter: all pending calls go silent for good while new connections work, and a lost watch whose history is gone. Stale answers show nothing in either.

They guard what built; that they fail before it was not run.

--- a/test/platform/store/object_store_adapter_test.cc
+++ b/test/platform/store/object_store_adapter_test.cc
@@ -303,6 +303,47 @@
   }
 }
 
+/** Guards against changes missed on connections that go silent for good while new ones work. */
+TEST(ObjectStoreAdapter, ReplacesConnectionsThatGoSilentForGood) {
+  livenessInterval = milliseconds(700);
+  answerLimit = seconds(30);
+  maxKnowledgeAge = seconds(1);
+  storeConfigurationAndHosts(4);
+  store->objects().setStaleLag(seconds(60));
+  start();
+  uint64_t version = 3;
+  for (int round = 0; round < 3; ++round) {
+    std::this_thread::sleep_for(milliseconds(200 * (round + 1)));
+    test::StandinFaults faults;
+    faults.responseMode = test::StoreResponseMode::kSilent;
+    faults.staysSilent = true;
+    store->setFaults(faults);
+    store->objects().endWatches();
+    std::this_thread::sleep_for(milliseconds(20));  // The pending watches have ended by now.
+    store->setFaults({});
+    setHost(1, round % 2 == 0 ? "draining" : "ready");
+    store->objects().set("config", "main", configuration(++version, "s-one", round + 2));
+    const size_t hosts = round % 2 == 0 ? 3 : 4;
+    const size_t routes = round + 2;
+    CHECK_TRUE(
+        follow([&] { return activeHosts() == hosts && services.size() == routes; }, seconds(2)));
+  }
+}
+
+/** Guards against a configuration missed where one watch is lost and the history goes early. */
+TEST(ObjectStoreAdapter, ListsAfterALostWatchWhoseHistoryIsGone) {
+  livenessInterval = milliseconds(700);
+  maxKnowledgeAge = seconds(1);
+  storeConfigurationAndHosts(4);
+  start();
+  store->objects().freezeStaleReads();
+  std::this_thread::sleep_for(milliseconds(300));  // Both watches are pending.
+  store->objects().muteWatches("config");
+  store->objects().set("config", "main", configuration(5, "s-one", 3));
+  store->objects().forgetHistory();
+  CHECK_TRUE(follow([this] { return services.size() == 3; }, seconds(2)));
+}
+
 TEST(ObjectStoreAdapter, AWatchThatAnswersIsNotRenewed) {
   livenessInterval = milliseconds(20);
   maxKnowledgeAge = seconds(60);
