--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -25,7 +25,7 @@
 constexpr double kMaxSilenceSeconds = 1.2;
 /** Longer than a silence, the settle time and the bound of the change that follows. */
 constexpr Duration kShortSilenceRound = std::chrono::seconds(11);
-/** Answers "may be seconds old". */
+/** Maximum age of answers that may be stale. */
 constexpr double kMaxStaleLagSeconds = 3.0;
 constexpr double kMeanOverloadedLinkGapSeconds = 2.0;
 constexpr double kMinOverloadedLinkSeconds = 0.4;
