--- a/test/common/platform/reader_roster_test.cc
+++ b/test/common/platform/reader_roster_test.cc
@@ -53,6 +53,7 @@
 
 TEST(ReaderRoster, OneNodeInThirtyTwoReadsAndTheOthersPollIt) {
   CHECK_EQUAL(1U, readersOf(nodes(3)).size());
+  CHECK_EQUAL(1U, readersOf(nodes(6)).size());
   CHECK_EQUAL(1U, readersOf(nodes(32)).size());
   const auto all = nodes(100);
   const auto readers = readersOf(all);
