Log hosts that are kept after their registration ended, and refusals on removed services

Cause: of an opening at a host that is gone, the log did not say which grace period kept the host, and since when; a reset on an address that a node does not know read the same whether the node never knew a service there or saw it removed. Change: event=hosts_kept (one line for all hosts whose grace period begins or changes) with its cause, how long ago the registrations existed for certain and how long the grace still lasts; reason=service_removed beside unknown_service.

--- a/source/common/flow/flow_director.cc
+++ b/source/common/flow/flow_director.cc
@@ -14,6 +14,8 @@
       return "hosts_busy";
     case RefusalReason::kUnknownService:
       return "unknown_service";
+    case RefusalReason::kServiceRemoved:
+      return "service_removed";
     case RefusalReason::kCount:
       break;
   }
--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -116,8 +116,10 @@
   kHostSilent,
   /** The hosts are busy, and the opening has reached its maximum wait. */
   kHostsBusy,
-  /** No service listens on the address. */
+  /** No service listens on the address, as far as this node ever knew. */
   kUnknownService,
+  /** The service that listened on the address was removed. */
+  kServiceRemoved,
   kCount,
 };
 
--- a/source/common/packet/packet_path.cc
+++ b/source/common/packet/packet_path.cc
@@ -116,7 +116,10 @@
 
 FlowDecision PacketPath::rejectUnknown(const ParsedPacket& packet) const {
   if (refuseUnknownServices_ && packet.phase != PacketPhase::kReset) {
-    return RefuseFlow{RefusalReason::kUnknownService};
+    const Endpoint& address = packet.key.service;
+    const bool isRemoved =
+        services_.wasRemoved(address.address, address.port, packet.key.protocol);
+    return RefuseFlow{isRemoved ? RefusalReason::kServiceRemoved : RefusalReason::kUnknownService};
   }
   return DropPacket{DropReason::kUnknownService};
 }
--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -38,6 +38,16 @@
 
 }  // namespace
 
+std::string_view toString(GraceCause cause) {
+  switch (cause) {
+    case GraceCause::kOutage:
+      return "outage";
+    case GraceCause::kMassRemoval:
+      return "mass_removal";
+  }
+  return "unknown";
+}
+
 HostPresence::HostPresence(HostPresenceOptions options) : options_(options) {}
 
 bool HostPresence::onRegistered(HostRegistration registration) {
@@ -103,6 +113,7 @@
   settledAt_ = now;
   markSuperseded();
   markMassRemovals(now);
+  markKept(now);
   dropExpired(now);
   std::vector<HostPool> changed;
   std::map<std::string, HostPool> pools = makePools(now);
@@ -235,6 +246,20 @@
   }
 }
 
+void HostPresence::markKept(TimePoint now) {
+  newlyKept_.clear();
+  for (auto& [name, entry] : entries_) {
+    if (!entry.removedAt || !receivesNewFlows(entry, now)) {
+      continue;
+    }
+    const TimePoint until = activeUntil(entry);
+    if (std::exchange(entry.reportedUntil, until) != until) {
+      const GraceCause cause = entry.afterOutage ? GraceCause::kOutage : GraceCause::kMassRemoval;
+      newlyKept_.push_back({name, cause, entry.lastPresentAt, until});
+    }
+  }
+}
+
 void HostPresence::dropExpired(TimePoint now) {
   std::erase_if(entries_, [this, now](const auto& named) {
     return named.second.removedAt && now >= expiresAt(named.second);
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -54,6 +55,27 @@
   bool operator==(const SupersededHost&) const = default;
 };
 
+/** Why a host receives new flows although its registration ended. */
+enum class GraceCause : uint8_t {
+  /** The registration ended during or right after an outage of the store. */
+  kOutage,
+  /** The registration ended together with a large part of its pool. */
+  kMassRemoval,
+};
+
+/** @return the snake_case name of a cause. */
+std::string_view toString(GraceCause cause);
+
+/** A host that stays active for a grace period after its registration ended. */
+struct KeptHost {
+  std::string host;
+  GraceCause cause = GraceCause::kMassRemoval;
+  /** When the registration last existed as far as is known. */
+  TimePoint lastPresentAt{};
+  /** End of the grace period. */
+  TimePoint activeUntil{};
+};
+
 /** Grace periods and thresholds. */
 struct HostPresenceOptions {
   /** Grace period of a host whose registration vanished although the host may be alive. */
@@ -126,6 +148,8 @@
   std::vector<HostPool> settle(TimePoint now);
   /** @return the hosts that the last settle() began to treat as superseded. */
   const std::vector<SupersededHost>& newlySuperseded() const { return newlySuperseded_; }
+  /** @return the hosts whose grace period began or changed with the last settle(). */
+  const std::vector<KeptHost>& newlyKept() const { return newlyKept_; }
   /** @return the registrations that currently exist, including those of superseded hosts. */
   std::vector<HostRegistration> registered() const;
   /** @return the names of registered hosts that are not in the set. */
@@ -146,6 +170,8 @@
     bool inMassRemoval = false;
     /** Whether another host uses the endpoint; as of the last settle(). */
     bool isSuperseded = false;
+    /** End of the grace period as last reported by newlyKept(). */
+    TimePoint reportedUntil{};
   };
   /** The latest hosts with one endpoint: of those that are registered, and of all. */
   struct LatestHosts {
@@ -170,6 +196,8 @@
   bool hasEnded(const Entry& entry, TimePoint now) const {
     return entry.isSuperseded && entry.removedAt && now >= activeUntil(entry);
   }
+  /** Collects hosts whose grace period began or changed. */
+  void markKept(TimePoint now);
   void dropExpired(TimePoint now);
   std::map<std::string, HostPool> makePools(TimePoint now) const;
 
@@ -178,6 +206,7 @@
   /** Pools as of the last settle(). */
   std::map<std::string, HostPool> pools_;
   std::vector<SupersededHost> newlySuperseded_;
+  std::vector<KeptHost> newlyKept_;
   std::optional<std::set<std::string>> configuredPools_;
   bool inOutage_ = false;
   std::optional<TimePoint> recoveredAt_;
