Reset no open flow on a service that may have been added again

Cause: a node resets packets of open flows to addresses that it saw removed. It reads a new version up to a poll later than the node that opened the flow, so that its memory of the removal is older than the flow. Change: a node knows up to when its configuration and hosts are complete (CatalogFreshness). A flow on a removed service is reset only if the node saw its first packet before that; any other goes to the host that its token names until the node's knowledge reaches the first packet. The same for flows of hosts that count as ended, whose packets wait meanwhile. Why it works: a flow on a service that returned after the node's knowledge was first seen by the node after it, too.

--- a/source/common/flow/service_lookup.h
+++ b/source/common/flow/service_lookup.h
@@ -26,14 +26,6 @@
    */
   virtual std::optional<ServiceMatch> find(uint32_t address, uint16_t port,
                                            TransportProtocol protocol) const = 0;
-  /**
-   * @return whether a service listened there that was removed; false if it may only not be known
-   * yet.
-   */
-  virtual bool wasRemoved(uint32_t /*address*/, uint16_t /*port*/,
-                          TransportProtocol /*protocol*/) const {
-    return false;
-  }
 };
 
 }  // namespace umberhold
--- a/source/common/packet/packet_path.cc
+++ b/source/common/packet/packet_path.cc
@@ -94,34 +94,26 @@
                                 std::string_view bytes) {
   const Endpoint& address = packet.key.service;
   const auto match = services_.find(address.address, address.port, packet.key.protocol);
-  if (!match && isOpenFlowOfUnknownService(packet)) {
-    return director_.decide(now, flowPacketOf(packet, source), bytes);
-  }
+  FlowPacket flow = flowPacketOf(packet, source);
   if (!match) {
-    return rejectUnknown(packet);
+    return decideWithoutService(now, flow, bytes);
   }
   if (!match->homeRegion) {
     return DropPacket{DropReason::kWrongRegion};
   }
-  FlowPacket flow = flowPacketOf(packet, source);
   flow.service = match->service;
   return director_.decide(now, flow, bytes);
 }
 
-bool PacketPath::isOpenFlowOfUnknownService(const ParsedPacket& packet) const {
-  const Endpoint& address = packet.key.service;
-  return refuseUnknownServices_ && packet.phase != PacketPhase::kOpening &&
-         !services_.wasRemoved(address.address, address.port, packet.key.protocol);
-}
-
-FlowDecision PacketPath::rejectUnknown(const ParsedPacket& packet) const {
-  if (refuseUnknownServices_ && packet.phase != PacketPhase::kReset) {
-    const Endpoint& address = packet.key.service;
-    const bool isRemoved =
-        services_.wasRemoved(address.address, address.port, packet.key.protocol);
-    return RefuseFlow{isRemoved ? RefusalReason::kServiceRemoved : RefusalReason::kUnknownService};
+FlowDecision PacketPath::decideWithoutService(TimePoint now, const FlowPacket& packet,
+                                              std::string_view bytes) {
+  if (!refuseUnknownServices_) {
+    return DropPacket{DropReason::kUnknownService};
+  }
+  if (packet.phase == PacketPhase::kOpening) {
+    return RefuseFlow{RefusalReason::kUnknownService};
   }
-  return DropPacket{DropReason::kUnknownService};
+  return director_.decide(now, packet, bytes);
 }
 
 void PacketPath::dropBeforeDecision(TimePoint now, DropReason reason, std::string_view bytes) {
--- a/source/common/packet/packet_path.h
+++ b/source/common/packet/packet_path.h
@@ -76,11 +76,11 @@
   FlowDecision decide(TimePoint now, PacketSource source, const ParsedPacket& packet,
                       std::string_view bytes);
   /**
-   * @return whether the packet may be of a flow that another node opened for a service that this
-   * node does not know yet; the director can still find its host by the flow token.
+   * Decides on a packet to an address without a service. Another node may have opened its flow for
+   * a service that this node does not know yet; the director can still find its host by the token.
    */
-  bool isOpenFlowOfUnknownService(const ParsedPacket& packet) const;
-  FlowDecision rejectUnknown(const ParsedPacket& packet) const;
+  FlowDecision decideWithoutService(TimePoint now, const FlowPacket& packet,
+                                    std::string_view bytes);
   void dropBeforeDecision(TimePoint now, DropReason reason, std::string_view bytes);
   void drop(DropReason reason);
   void act(const ForwardToHost& decision, const ParsedPacket& packet, std::string_view bytes);
--- a/source/common/platform/catalog_source.h
+++ b/source/common/platform/catalog_source.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +40,14 @@
   std::vector<CatalogChange> changes;
 };
 
+/** How recent a source's catalog is. */
+struct CatalogFreshness {
+  /** All changes up to this time are part of the catalog. */
+  TimePoint knownAsOf{};
+  /** Catalog version that includes them. */
+  uint64_t version = 0;
+};
+
 /** Blocking access to the catalog. Each implementation documents its thread safety. */
 class CatalogSource {
  public:
@@ -55,6 +64,11 @@
    * again.
    */
   virtual Result<CatalogChanges, StoreError> watch(uint64_t since, Duration longPollTimeout) = 0;
+  /**
+   * Does not block.
+   * @return nothing if the source cannot tell.
+   */
+  virtual std::optional<CatalogFreshness> freshness() const { return std::nullopt; }
 };
 
 }  // namespace umberhold
--- a/source/common/server/token_node.cc
+++ b/source/common/server/token_node.cc
@@ -78,9 +78,10 @@
 }  // namespace
 
 struct TokenNode::Parts {
-  Parts(const TokenNodeSettings& given, const PacketFormat& format, TokenNodeHooks givenHooks,
-        std::unique_ptr<UdpPort> udpPort)
+  Parts(const TokenNodeSettings& given, const PacketFormat& format, const CatalogSource& catalog,
+        TokenNodeHooks givenHooks, std::unique_ptr<UdpPort> udpPort)
       : settings(given),
+        catalogSource(catalog),
         hooks(std::move(givenHooks)),
         port(std::move(udpPort)),
         director(optionsOf(given), random),
@@ -102,6 +103,7 @@
   ~Parts() { ::close(signalDescriptor); }
 
   void receive() {
+    updateFreshness();
     size_t count = kReceiveBatch;
     while (count == kReceiveBatch) {
       TimePoint now = steadyNow();
@@ -121,6 +123,14 @@
     flushLog();
   }
 
+  /** Informs the director how recent the catalog is that it was given. */
+  void updateFreshness() {
+    const auto freshness = catalogSource.freshness();
+    if (freshness && freshness->version <= appliedVersion) {
+      director.setKnownAsOf(freshness->knownAsOf);
+    }
+  }
+
   /** Releases waiting packets that are due or whose host has become available, and schedules the
    * next check for the remaining ones. */
   void releaseWaiting() {
@@ -219,6 +229,7 @@
     for (const CatalogChange& change : update.changes) {
       std::visit([&](const auto& object) { apply(now, update.version, object); }, change);
     }
+    appliedVersion = update.version;
     changeTimes.Observe(secondsOf(steadyNow() - update.receivedAt));
     LOG(INFO) << "event=catalogue_in_force catalogue=" << update.version
               << " changes=" << update.changes.size() << " services=" << director.serviceCount()
@@ -388,6 +399,7 @@
   }
 
   TokenNodeSettings settings;
+  const CatalogSource& catalogSource;
   const TokenNodeHooks hooks;
   RandomSource random{randomSeed()};
   PollLoop loop;
@@ -411,6 +423,8 @@
   std::atomic<bool> stopRequested{false};
   std::atomic<bool> reloadRequested{false};
   EvacuatedZones evacuatedZones;
+  /** Version of the catalog that the director holds. */
+  uint64_t appliedVersion = 0;
   bool flushPlanned = false;
   bool resetsPlanned = false;
   bool releasePlanned = false;
@@ -435,7 +449,7 @@
     return errorOf(port);
   }
   auto parts =
-      std::make_unique<Parts>(settings, format, std::move(hooks), std::move(valueOf(port)));
+      std::make_unique<Parts>(settings, format, source, std::move(hooks), std::move(valueOf(port)));
   Parts* const shared = parts.get();
   auto readiness = PollHttpPort::open(
       settings.readiness, parts->loop,
--- a/source/common/token/dead_host_flows.cc
+++ b/source/common/token/dead_host_flows.cc
@@ -4,12 +4,14 @@
 
 namespace umberhold {
 
-void DeadHostFlows::onEnded(TimePoint now, const std::set<uint32_t>& tokens) {
+void DeadHostFlows::onEnded(TimePoint now, const std::set<uint32_t>& tokens, TimePoint knownAsOf) {
   if (tokens.empty()) {
     return;
   }
   add(recent_.take(now - flowLife_,
-                   [&](const RecentFlow& flow) { return tokens.contains(flow.token); }),
+                   [&](const RecentFlow& flow) {
+                     return tokens.contains(flow.token) && flow.firstSeenAt <= knownAsOf;
+                   }),
       RefusalReason::kHostEnded);
 }
 
--- a/source/common/token/dead_host_flows.h
+++ b/source/common/token/dead_host_flows.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,13 +29,24 @@
   explicit DeadHostFlows(Duration flowLife) : flowLife_(flowLife) {}
   void setFlowLife(Duration flowLife) { flowLife_ = flowLife; }
 
-  /** @param packet a packet of a flow whose host is not known to be dead. */
-  void record(TimePoint now, const FlowPacket& packet) { recent_.record(now, packet); }
+  /** @param packet a packet of a flow that has not been reset. */
+  void record(TimePoint now, const FlowPacket& packet) {
+    recent_.expire(now - flowLife_);
+    recent_.record(now, packet);
+  }
+  /** @return when the first packet of the flow was recorded; nothing if the flow is not known. */
+  std::optional<TimePoint> firstSeenAt(TimePoint now, FlowHash hash) {
+    recent_.expire(now - flowLife_);
+    return recent_.firstSeenAt(hash);
+  }
   /**
-   * Resets all flows of hosts that have terminated.
+   * Resets the flows of hosts that have terminated.
    * @param tokens flow tokens of these hosts.
+   * @param knownAsOf time up to which the hosts are known; a flow that was first seen later may
+   * belong to a later process of its host, which is not known yet.
    */
-  void onEnded(TimePoint now, const std::set<uint32_t>& tokens);
+  void onEnded(TimePoint now, const std::set<uint32_t>& tokens,
+               TimePoint knownAsOf = TimePoint::max());
   /**
    * Handles the restart of a host under the same token. Flows that were last seen before the
    * restart are reset. Flows seen later reached the restarted host, which itself resets flows that
--- a/source/common/token/recent_flows.cc
+++ b/source/common/token/recent_flows.cc
@@ -23,6 +23,17 @@
   return entries_.back();
 }
 
+std::optional<TimePoint> RecentFlows::firstSeenAt(FlowHash hash) const {
+  const auto known = byHash_.find(hash);
+  return known == byHash_.end() ? std::nullopt : std::optional(known->second->flow.firstSeenAt);
+}
+
+void RecentFlows::expire(TimePoint oldest) {
+  while (!entries_.empty() && entries_.front().at < oldest) {
+    remove(entries_.begin());
+  }
+}
+
 void RecentFlows::record(TimePoint now, const FlowPacket& packet) {
   if (packet.phase != PacketPhase::kContinuing) {
     const auto known = byHash_.find(packet.hash);
@@ -33,7 +44,7 @@
   }
   Entry& entry = latest(packet);
   if (entry.flow.token != packet.token) {
-    entry.flow = {packet.key, packet.service, packet.token, packet.acknowledged, false};
+    entry.flow = {packet.key, packet.service, packet.token, packet.acknowledged, false, now};
   } else if (isAfter(packet.acknowledged, entry.flow.acknowledged)) {
     entry.flow.acknowledged = packet.acknowledged;
     entry.flow.requestInFlight = false;
--- a/source/common/token/recent_flows.h
+++ b/source/common/token/recent_flows.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <iterator>
 #include <list>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +32,8 @@
   uint32_t acknowledged = 0;
   /** The caller sent data and has not acknowledged new data since. */
   bool requestInFlight = false;
+  /** When this node received the first packet of the flow, as far as it remembers. */
+  TimePoint firstSeenAt{};
 };
 
 /**
@@ -44,6 +47,10 @@
    * same addresses and discards the state of the previous one.
    */
   void record(TimePoint now, const FlowPacket& packet);
+  /** @return when the first packet of the flow arrived; nothing if the flow is not known. */
+  std::optional<TimePoint> firstSeenAt(FlowHash hash) const;
+  /** Discards the flows that were last seen before `oldest`. */
+  void expire(TimePoint oldest);
   /** @return the flows seen since `oldest` for which `isWanted` returns true; they are removed. */
   template <class Predicate>
   std::vector<RecentFlow> take(TimePoint oldest, const Predicate& isWanted) {
--- a/source/common/token/removed_listeners.h
+++ b/source/common/token/removed_listeners.h
@@ -2,7 +2,9 @@
  * @file Addresses of services that were removed, as opposed to services that are not known yet.
  *
  * A node may receive packets of a flow whose service was added a moment ago: another node with a
- * newer configuration opened the flow. Only a service that this node knew and removed is gone.
+ * newer configuration opened the flow. Only a service that this node knew and removed is gone, and
+ * only for flows that were open when this node's configuration was current: the service may have
+ * been added again since.
  */
 #pragma once
 
--- a/source/common/token/token_director.cc
+++ b/source/common/token/token_director.cc
@@ -84,7 +84,7 @@
       handleRestart(now, flowTokenOf(change.host.incarnation), change.startedAt);
     }
   }
-  deadHostFlows_.onEnded(now, ended);
+  deadHostFlows_.onEnded(now, ended, knownAsOf_);
   for (std::string& bytes : heldForHost_.takeByToken(now, added)) {
     released_.push_back(std::move(bytes));
   }
@@ -304,6 +304,11 @@
 
 FlowDecision TokenDirector::continueFlow(TimePoint now, const FlowPacket& packet,
                                          std::string_view bytes) {
+  if (isToRemovedService(packet) && (packet.token == 0 || isGoneFor(now, packet))) {
+    return packet.phase == PacketPhase::kReset
+               ? FlowDecision(DropPacket{DropReason::kUnknownService})
+               : FlowDecision(RefuseFlow{RefusalReason::kServiceRemoved});
+  }
   TokenHost* host = hosts_.find(packet.token);
   if (host == nullptr && !services_.contains(packet.service)) {
     return DropPacket{DropReason::kUnknownService};
@@ -312,10 +317,12 @@
     // Any other host would receive a packet of a flow that it does not hold.
     return holdForHost(now, packet, bytes);
   }
+  if (host->ended && packet.phase == PacketPhase::kReset) {
+    return DropPacket{DropReason::kHostGone};
+  }
   if (host->ended) {
-    return packet.phase == PacketPhase::kReset
-               ? FlowDecision(DropPacket{DropReason::kHostGone})
-               : FlowDecision(RefuseFlow{RefusalReason::kHostEnded});
+    return isGoneFor(now, packet) ? FlowDecision(RefuseFlow{RefusalReason::kHostEnded})
+                                  : holdForHost(now, packet, bytes);
   }
   recordRoundTrip(now, packet);
   if (openings_.onFollowed(packet.hash, packet.token)) {
@@ -335,6 +342,20 @@
   return forward(*host);
 }
 
+bool TokenDirector::isToRemovedService(const FlowPacket& packet) const {
+  const Endpoint& address = packet.key.service;
+  return !services_.contains(packet.service) &&
+         removedListeners_.contains(listenKey(address.address, address.port, packet.key.protocol));
+}
+
+bool TokenDirector::isGoneFor(TimePoint now, const FlowPacket& packet) {
+  if (deadHostFlows_.firstSeenAt(now, packet.hash).value_or(now) <= knownAsOf_) {
+    return true;
+  }
+  deadHostFlows_.record(now, packet);
+  return false;
+}
+
 bool TokenDirector::recordOpened(TimePoint now, const FlowPacket& packet) {
   const auto service = services_.find(packet.service);
   return admission_.onLaterPacket(
@@ -589,8 +610,4 @@
   return ServiceMatch{place->second, true};
 }
 
-bool TokenDirector::wasRemoved(uint32_t address, uint16_t port, TransportProtocol protocol) const {
-  return removedListeners_.contains(listenKey(address, port, protocol));
-}
-
 }  // namespace umberhold
--- a/source/common/token/token_director.h
+++ b/source/common/token/token_director.h
@@ -99,6 +99,11 @@
     zoneNodes_ = nodes;
     placement_.setZoneNodes(nodes);
   }
+  /**
+   * Sets the time up to which the services and pools applied so far include all changes. Until it
+   * is called, they count as current.
+   */
+  void setKnownAsOf(TimePoint knownAsOf) { knownAsOf_ = knownAsOf; }
   /** Changes the maximum lifetime of flows; see TokenOptions. */
   void setFlowLife(Duration flowLife) {
     hosts_.setFlowLife(flowLife);
@@ -110,7 +115,6 @@
   // ServiceLookup
   std::optional<ServiceMatch> find(uint32_t address, uint16_t port,
                                    TransportProtocol protocol) const override;
-  bool wasRemoved(uint32_t address, uint16_t port, TransportProtocol protocol) const override;
 
   /** Called when all packets that had arrived are handled; see FlowProgress and RequestTimer. */
   void onCaughtUp(TimePoint now);
@@ -226,6 +230,15 @@
    */
   uint32_t sendingNodes(const TokenPool& pool) const;
   FlowDecision continueFlow(TimePoint now, const FlowPacket& packet, std::string_view bytes);
+  /** @return whether the packet is addressed to a service that was removed. */
+  bool isToRemovedService(const FlowPacket& packet) const;
+  /**
+   * Decides whether a service or host that is gone as far as is known is gone for the packet's
+   * flow.
+   * @return whether the flow was open at a time up to which all changes are known. Otherwise the
+   * service or host may have returned, and the flow may have been opened since; it is recorded.
+   */
+  bool isGoneFor(TimePoint now, const FlowPacket& packet);
   /**
    * Holds a packet whose token matches no known host until the host becomes known: after an outage
    * of the store, live hosts lack an entry for up to 2 s.
@@ -296,6 +309,7 @@
   /** Service by address, port and protocol packed into one integer. */
   std::unordered_map<uint64_t, ServiceId> listeners_;
   RemovedListeners removedListeners_;
+  TimePoint knownAsOf_ = TimePoint::max();
   TokenHosts hosts_;
   HostSpeeds speeds_{hosts_};
   FlowPlacement placement_;
--- a/test/common/token/token_director_fixture.h
+++ b/test/common/token/token_director_fixture.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,21 @@
   FlowDecision next(uint64_t flow, uint32_t token) {
     return director.decide(now, packet(PacketPhase::kContinuing, flow, token), "");
   }
+  /** @return the packet with its address but without a service, as if none listened there. */
+  static FlowPacket withoutService(FlowPacket made) {
+    made.service = ServiceId{};
+    made.key.service = {kAddress, kPort};
+    made.key.protocol = TransportProtocol::kTcp;
+    return made;
+  }
+  FlowDecision nextWithoutService(uint64_t flow, uint32_t token) {
+    return director.decide(now, withoutService(packet(PacketPhase::kContinuing, flow, token)), "");
+  }
+  /** @return why a decision refuses its flow; nothing if it does not. */
+  static std::optional<RefusalReason> refusalOf(const FlowDecision& decision) {
+    const auto* refusal = std::get_if<RefuseFlow>(&decision);
+    return refusal == nullptr ? std::nullopt : std::optional(refusal->reason);
+  }
   /** @return the incarnation of the host that a decision forwards to; 0 if it does not forward. */
   static uint64_t hostOf(const FlowDecision& decision) {
     const auto* forward = std::get_if<ForwardToHost>(&decision);
--- a/test/common/token/token_director_test.cc
+++ b/test/common/token/token_director_test.cc
@@ -190,6 +190,74 @@
   CHECK_FALSE(director.find(kAddress, kPort, TransportProtocol::kTcp).has_value());
 }
 
+/** Guards against resets of open flows on a service that was added again at other nodes. */
+TEST(TokenDirector, ForwardsFlowsOfARemovedServiceThatMayBeBack) {
+  director.setKnownAsOf(now);
+  director.removeService("pickup");
+  now += milliseconds(100);
+  CHECK_EQUAL(1, hostOf(nextWithoutService(1, flowTokenOf(1))));
+  now += milliseconds(900);
+  CHECK_EQUAL(1, hostOf(nextWithoutService(1, flowTokenOf(1))));
+  // No node added the service until after the first packet, so the flow had been open before.
+  director.setKnownAsOf(kStart + milliseconds(100));
+  CHECK_TRUE(refusalOf(nextWithoutService(1, flowTokenOf(1))) == RefusalReason::kServiceRemoved);
+  CHECK_EQUAL(2, hostOf(nextWithoutService(2, flowTokenOf(2))));
+}
+
+TEST(TokenDirector, RefusesFlowsOfARemovedServiceThatItCarriedBefore) {
+  CHECK_EQUAL(1, hostOf(next(1, flowTokenOf(1))));
+  now += milliseconds(500);
+  director.setKnownAsOf(now);
+  director.removeService("pickup");
+  now += milliseconds(500);
+  CHECK_TRUE(refusalOf(nextWithoutService(1, flowTokenOf(1))) == RefusalReason::kServiceRemoved);
+  CHECK_TRUE(refusalOf(nextWithoutService(2, 0)) == RefusalReason::kServiceRemoved);
+  FlowPacket reset = withoutService(packet(PacketPhase::kReset, 1, flowTokenOf(1)));
+  CHECK_TRUE(isDropped(director.decide(now, reset, "")));
+}
+
+/** Guards against stale memories of earlier flows with the same addresses. */
+TEST(TokenDirector, ForgetsWhenItSawAFlowOnceItsLifeIsOver) {
+  CHECK_EQUAL(1, hostOf(next(1, flowTokenOf(1))));
+  director.setKnownAsOf(now);
+  director.removeService("pickup");
+  now += seconds(61);
+  CHECK_EQUAL(1, hostOf(nextWithoutService(1, flowTokenOf(1))));
+}
+
+/** Guards against resets of flows of a host that started again under its token elsewhere. */
+TEST(TokenDirector, HoldsFlowsOfAnEndedHostThatMayHaveStartedAgain) {
+  CHECK_EQUAL(1, hostOf(next(1, flowTokenOf(1))));
+  director.setKnownAsOf(now);
+  HostSpec successor = makeHost(3);
+  successor.endpoint = makeHost(1).endpoint;
+  now += seconds(1);
+  director.setPool(now, {"mapstore", {successor}});
+  CHECK_EQUAL(1, hostOf(next(2, flowTokenOf(1))));
+  director.setPool(now, {"dispatch", {makeHost(2)}});
+  LONGS_EQUAL(1, director.takeResets().size());
+  CHECK_TRUE(isHeld(next(2, flowTokenOf(1))));
+  CHECK_TRUE(isHeld(next(3, flowTokenOf(1))));
+  HostSpec restarted = makeHost(1);
+  restarted.endpoint.port = 8081;
+  director.setPool(now, {"dispatch", {makeHost(2), restarted}});
+  LONGS_EQUAL(2, director.takeReleased(now).size());
+  CHECK_EQUAL(1, hostOf(next(3, flowTokenOf(1))));
+}
+
+TEST(TokenDirector, RefusesFlowsOfAnEndedHostOnceItIsKnownToStayAway) {
+  director.setKnownAsOf(now);
+  HostSpec successor = makeHost(3);
+  successor.endpoint = makeHost(1).endpoint;
+  now += seconds(1);
+  director.setPool(now, {"mapstore", {successor}});
+  director.setPool(now, {"dispatch", {makeHost(2)}});
+  CHECK_TRUE(isHeld(next(3, flowTokenOf(1))));
+  director.setKnownAsOf(now);
+  now += milliseconds(200);
+  CHECK_TRUE(refusalOf(next(3, flowTokenOf(1))) == RefusalReason::kHostEnded);
+}
+
 TEST(TokenDirector, ResetsFlowsOfATerminatedHostAtOnce) {
   data(1, flowTokenOf(1), 100);
   acknowledge(1, flowTokenOf(1), 600, 200);
--- a/test/platform/store/edge_node_test.cc
+++ b/test/platform/store/edge_node_test.cc
@@ -62,10 +62,14 @@
          R"("sequence":1})";
 }
 
-const char* const kConfiguration =
-    R"({"version":3,"routes":[{"name":"r-0","host":"198.18.0.1","path_prefix":"/8000/",)"
-    R"("service":"s-one"}],"services":[{"name":"s-one","max_connections":2000}],)"
-    R"("limits":{"idle_timeout_ms":15000}})";
+/** @return a configuration with or without the route to 198.18.0.1:8000. */
+std::string configuration(uint64_t version, bool hasRoute) {
+  const char* const route =
+      R"({"name":"r-0","host":"198.18.0.1","path_prefix":"/8000/","service":"s-one"})";
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + (hasRoute ? route : "") +
+         R"(],"services":[{"name":"s-one","max_connections":2000}],)" +
+         R"("limits":{"idle_timeout_ms":15000}})";
+}
 
 }  // namespace
 
@@ -136,7 +140,7 @@
   }
   void configure() {
     store->objects().set("servers", "i-7f3a91c2", hostEntry(host->local()));
-    store->objects().set("config", "main", kConfiguration);
+    store->objects().set("config", "main", configuration(3, true));
   }
   struct Answer {
     int status = 0;
@@ -205,6 +209,21 @@
   CHECK_TRUE(expected + packetOf(kAck, token) == forward(packetOf(kAck, token)));
 }
 
+/** Guards against resets of open flows on a route that returned before this node heard of it. */
+TEST(EdgeNode, ForwardsAnOpenFlowOfARouteThatWasAddedAgainUnnoticed) {
+  configure();
+  CHECK_TRUE(awaitReadiness(200));
+  store->objects().set("config", "main", configuration(4, false));
+  CHECK_TRUE(awaitMetric("umberhold_config_version 4"));
+  store->objects().muteWatches("config");
+  store->objects().set("config", "main", configuration(5, true));
+  // Another node, which has the new configuration, opened the flow.
+  const std::string packet = packetOf(kAck, flowTokenOf(kIncarnation));
+  const std::string received = forward(packet);
+  CHECK_TRUE(!received.empty() && received.substr(kIncarnationBytes) == packet);
+  CHECK_TRUE(awaitMetric("umberhold_config_version 4"));
+}
+
 TEST(EdgeNode, KeepsForwardingWhileStopping) {
   configure();
   CHECK_TRUE(awaitReadiness(200));
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -113,6 +113,7 @@
   uint64_t configurationVersion() const { return adapter_->status().configurationVersion; }
   uint64_t failures() const { return adapter_->status().failures; }
   uint64_t peerConfirmations() const { return adapter_->status().peerConfirmations; }
+  CatalogFreshness freshness() const { return adapter_->freshness().value_or(CatalogFreshness{}); }
   ObservationExchange& observations() { return observations_; }
   /** @return the number of pages listed from the store, except pages of the list of nodes. */
   uint64_t lists() const { return adapter_->status().lists; }
@@ -392,6 +393,28 @@
   CHECK_EQUAL(1U, readers());
 }
 
+/** Guards against flows that are reset because a node believes an outdated state to be current. */
+TEST(ZoneReader, NoNodeClaimsToKnowAChangeThatItLacks) {
+  startAll(kFewNodes);
+  uint64_t version = 3;
+  for (int round = 0; round < 4; ++round) {
+    std::this_thread::sleep_for(milliseconds(90 * round));
+    if (round == 3) {
+      store.objects().muteWatches("config");
+    }
+    store.objects().set("config", "main", configuration(++version));
+    const TimePoint changedAt = steadyNow();
+    const auto knows = [&](const auto& node) {
+      const TimePoint knownAsOf = node->freshness().knownAsOf;
+      const bool hasChange = node->configurationVersion() == version;
+      CHECK_TRUE(hasChange || knownAsOf <= changedAt);
+      return hasChange && knownAsOf >= changedAt;
+    };
+    CHECK_TRUE(holdsWithin([&] { return std::all_of(nodes.begin(), nodes.end(), knows); }));
+    CHECK_TRUE(steadyNow() - changedAt < 2 * kChangeBound);
+  }
+}
+
 TEST(ZoneReader, AStoppedReaderIsReplacedWithinTheBound) {
   startAll();
   nodes.erase(nodes.begin());
