Count the grace of vanished hosts from when they existed for certain, however a node hears

Cause: the 2 s of a mass removal counted from the reading where a node reads the store itself. A node whose reader is lost begins to read 0.7 of the bound after the last confirmation, and its first watch brings the removals of that time; a current list after a lost history, and a reader that has itself lost the store, have the same effect. Change: a copy knows up to when its hosts are complete, by its own calls' answers or by a reader's confirmation with the age of the reader's knowledge; what ends later counts from then. onOwnReading() is gone. Why it works: the entry existed then for certain, so the last new flow is at the news or 2 s after the end, whichever is later, and no longer at their sum. StoreCopyEntries.ChangesReadFromTheStoreCountAsCurrent asked for this fault (a removal 10 s after the last known state keeps its host for 2 s more); RemovalsReadFromTheStoreCountFromTheLastKnownState takes its place and asks for the bound.

--- a/test/platform/store/store_copy_property.cc
+++ b/test/platform/store/store_copy_property.cc
@@ -111,7 +111,7 @@
 
 /** A copy and the version it claims to know. */
 struct Copy {
-  StoreCopy copy{"addis", HostPresenceOptions{}};
+  StoreCopy copy{TimePoint{}, "addis", HostPresenceOptions{}};
   uint64_t version = 0;
   /** All hosts at an earlier version of this copy, for nodes that are too far behind. */
   std::vector<HostEvent> offered;
--- a/test/platform/store/store_copy_test.cc
+++ b/test/platform/store/store_copy_test.cc
@@ -7,7 +7,7 @@
 using namespace umberhold::platform;
 
 TEST_GROUP_BASE(StoreCopyEntries, test::WithoutLeakDetection) {
-  StoreCopy copy{"addis", HostPresenceOptions{}};
+  StoreCopy copy{now, "addis", HostPresenceOptions{}};
   TimePoint now{std::chrono::seconds(100)};
 
   void setup() override {
@@ -32,6 +32,18 @@
     copy.settle(now);
     return isReadable;
   }
+  void remove(const std::string& name, uint64_t revision) {
+    copy.apply(now, StoreKind::kHosts, {name, revision, 1, true, Unreadable{}});
+    copy.settle(now);
+  }
+  /** @return a peer's answer without changes, whose knowledge is this old. */
+  static PeerChanges confirmation(uint32_t agoMilliseconds) {
+    PeerChanges none;
+    none.reading = true;
+    none.confirmedAgoMilliseconds = agoMilliseconds;
+    none.hostsVersion = 3;
+    return none;
+  }
   /** @return changes of a peer in which the hosts i-1 and i-2 have been removed. */
   static PeerChanges removalOfBothHosts() {
     PeerChanges changes;
@@ -74,9 +86,7 @@
  */
 TEST(StoreCopyEntries, VanishedHostsAreGrantedTimeFromTheLastAnswerThatHadThem) {
   write("i-2", 3, R"("slots":2,"state":"ready")");
-  PeerChanges none;
-  none.hostsVersion = 3;
-  copy.apply(now, now, 3, none);
+  copy.apply(now, now, 3, confirmation(0));
   now += std::chrono::milliseconds(1500);
   copy.apply(now, now, 3, removalOfBothHosts());
   copy.settle(now);
@@ -86,14 +96,40 @@
   LONGS_EQUAL(0, activeHosts());
 }
 
-TEST(StoreCopyEntries, ChangesReadFromTheStoreCountAsCurrent) {
+/** Guards against flows on hosts that left while the reader had no recent knowledge itself. */
+TEST(StoreCopyEntries, AReadersAnswerShowsHostsOnlyAsOfItsOwnKnowledge) {
   write("i-2", 3, R"("slots":2,"state":"ready")");
-  copy.apply(now, now, 3, PeerChanges{});
-  copy.onOwnReading();
-  now += std::chrono::seconds(10);
+  now += std::chrono::seconds(2);
+  copy.apply(now, now, 3, confirmation(1500));
+  now += std::chrono::milliseconds(400);
   copy.apply(now, now, 3, removalOfBothHosts());
   copy.settle(now);
   LONGS_EQUAL(2, activeHosts());
+  now += std::chrono::milliseconds(100);
+  copy.settle(now);
+  LONGS_EQUAL(0, activeHosts());
+}
+
+/** Guards against flows on hosts that left before this node began to read the store itself. */
+TEST(StoreCopyEntries, RemovalsReadFromTheStoreCountFromTheLastKnownState) {
+  write("i-2", 3, R"("slots":2,"state":"ready")");
+  copy.onHostsKnownAsOf(now);
+  now += std::chrono::milliseconds(1900);
+  remove("i-1", 4);
+  remove("i-2", 5);
+  LONGS_EQUAL(2, activeHosts());
+  now += std::chrono::milliseconds(100);
+  copy.settle(now);
+  LONGS_EQUAL(0, activeHosts());
+}
+
+TEST(StoreCopyEntries, HostsMissingFromACurrentListCountFromTheLastKnownState) {
+  write("i-2", 3, R"("slots":2,"state":"ready")");
+  copy.onHostsKnownAsOf(now);
+  now += std::chrono::milliseconds(2100);
+  copy.onCurrentHostList(now, 3, 9, {});
+  copy.settle(now);
+  LONGS_EQUAL(0, activeHosts());
 }
 
 /** Guards against new flows to a host whose entry another writer has replaced. */
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -178,6 +178,7 @@
     options.source.serveOthersDuration = seconds(1);
     options.registry = {milliseconds(100), seconds(1), milliseconds(200), milliseconds(50)};
     options.recoveryDelay = milliseconds(300);
+    options.presence.vanishedGrace = percentOfBound(67);
     options.roster.nodesPerReader = nodesPerReader_;
     options.liveness.first = milliseconds(100);
     options.liveness.interval = percentOfBound(10);
@@ -280,6 +281,28 @@
     const auto hasZones = [&](const auto& node) { return node->evacuated() == zones; };
     return holdsWithin([&] { return std::all_of(nodes.begin(), nodes.end(), hasZones); }, timeout);
   }
+  /** Half of the hosts leave without draining, which counts as a mass removal. */
+  void removeHalfOfTheHosts() {
+    store.objects().remove("servers", hostName(1), 0);
+    store.objects().remove("servers", hostName(2), 0);
+  }
+  /**
+   * Starts nodes of which the first ones, with the reader among them, use a store of their own.
+   * @param apart number of those nodes.
+   */
+  void startWithReaderOnStoreOfItsOwn(uint32_t apart, uint32_t count) {
+    for (uint32_t number = 1; number <= count; ++number) {
+      const bool isApart = number <= apart;
+      const Endpoint address = isApart ? storeOfReader.address() : store.address();
+      nodes.push_back(std::make_unique<Node>(number, address));
+      nodes.back()->start();
+      storeOfReader.objects().set("balancers-bole", "node-" + std::to_string(number),
+                                  nodes.back()->entry());
+      store.objects().set("balancers-bole", "node-" + std::to_string(number),
+                          nodes.back()->entry());
+    }
+    CHECK_TRUE(holdsWithin([this] { return nodes.front()->readsStore(); }));
+  }
   void drain(uint32_t index) {
     store.objects().set("servers", hostName(index), hostEntry(index, "draining"));
   }
@@ -456,6 +479,42 @@
   CHECK_TRUE(steadyNow() - changedAt < kChangeBound);
 }
 
+/** Guards against flows on hosts that left together just as a node's reader was lost. */
+TEST(ZoneReader, AMassRemovalBesideTheLossOfTheReaderIsEffectiveWithinTheBound) {
+  startAll(3);
+  CHECK_TRUE(allHaveActiveHosts(4));
+  const TimePoint leftAt = steadyNow();
+  removeHalfOfTheHosts();
+  nodes.erase(nodes.begin(), nodes.begin() + 2);
+  CHECK_TRUE(allHaveActiveHosts(2));
+  CHECK_TRUE(steadyNow() - leftAt < kChangeBound);
+}
+
+TEST(ZoneReader, AMassRemovalBesideAReaderThatFreezesIsEffectiveWithinTheBound) {
+  startAll(3);
+  CHECK_TRUE(allHaveActiveHosts(4));
+  nodes[0]->stopAnswering();
+  nodes[1]->stopAnswering();
+  const TimePoint leftAt = steadyNow();
+  removeHalfOfTheHosts();
+  CHECK_TRUE(holdsWithin([this] { return nodes[2]->activeHosts() == 2; }));
+  CHECK_TRUE(steadyNow() - leftAt < kChangeBound);
+}
+
+TEST(ZoneReader, AMassRemovalBesideAReaderCutOffFromTheStoreIsEffectiveWithinTheBound) {
+  startWithReaderOnStoreOfItsOwn(2, 3);
+  CHECK_TRUE(allHaveActiveHosts(4));
+  CHECK_TRUE(holdsWithin([this] { return nodes[2]->peerConfirmations() > 0; }));
+  CHECK_EQUAL(1U, readers());
+  test::StandinFaults faults;
+  faults.responseMode = test::StoreResponseMode::kSilent;
+  storeOfReader.setFaults(faults);
+  const TimePoint leftAt = steadyNow();
+  removeHalfOfTheHosts();
+  CHECK_TRUE(holdsWithin([this] { return nodes[2]->activeHosts() == 2; }));
+  CHECK_TRUE(steadyNow() - leftAt < kChangeBound);
+}
+
 TEST(ZoneReader, AStoreOutageRevertsNothingAndAllNodesRecover) {
   startAll();
   test::StandinFaults faults;
