End the grace of an outage by when the store was last out of reach, not by when a node notices

Cause: the 2.5 s after an outage counted from when the node found the store answering: a lost probe (1 s) and the longest interval (1.44 s) came first. A node cannot tell a store that is away from a path of its own that is cut. Change: the grace counts from the first answer of any kind (2.3 s) and ends at the latest outageLimit after the last lost call was sent. A reader's outage is no longer taken for its followers' own: they keep hosts absenceLimit after the last certain existence at most. Why it works: the path was cut when the last lost call was sent, so no delay of detection adds to the limit. HostPresence's tests give the times of lost calls, since onOutage() asks for them; their checks are as they were.

--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -42,6 +42,8 @@
   switch (cause) {
     case GraceCause::kOutage:
       return "outage";
+    case GraceCause::kOutageOfSource:
+      return "outage_of_source";
     case GraceCause::kMassRemoval:
       return "mass_removal";
   }
@@ -67,6 +69,7 @@
   entry.registration = std::move(registration);
   entry.removedAt.reset();
   entry.afterOutage = false;
+  entry.afterOutageOfSource = false;
   entry.inMassRemoval = false;
   return true;
 }
@@ -82,31 +85,45 @@
   entry.registration.version = version;
   entry.removedAt = now;
   entry.lastPresentAt = lastPresentAt;
-  entry.afterOutage = isInPostOutageWindow(now);
+  entry.afterOutage = inOutage_ || isRecent(now, recoveredAt_);
+  entry.afterOutageOfSource = isRecent(now, sourceRecoveredAt_);
   return true;
 }
 
-void HostPresence::onListed(TimePoint now, uint64_t version, const std::set<std::string>& hosts) {
+void HostPresence::onListed(TimePoint now, uint64_t version, const std::set<std::string>& hosts,
+                            TimePoint lastPresentAt) {
   for (auto& [name, entry] : entries_) {
     if (!hosts.contains(name)) {
-      onRemoved(now, name, version);
+      onRemoved(now, name, version, lastPresentAt);
     }
   }
 }
 
-void HostPresence::onOutage() {
+void HostPresence::onOutage(TimePoint lostAt) {
   inOutage_ = true;
+  lostAt_ = std::max(lostAt_, lostAt);
+  reachableAt_.reset();
+}
+
+void HostPresence::onReachable(TimePoint now) {
+  if (inOutage_ && !reachableAt_) {
+    reachableAt_ = now;
+  }
 }
 
 void HostPresence::onRecovered(TimePoint now) {
   if (inOutage_) {
     inOutage_ = false;
-    recoveredAt_ = now;
+    recoveredAt_ = std::exchange(reachableAt_, std::nullopt).value_or(now);
   }
 }
 
 std::optional<TimePoint> HostPresence::outageEndedAt(TimePoint now) const {
-  return !inOutage_ && isInPostOutageWindow(now) ? recoveredAt_ : std::nullopt;
+  if (inOutage_) {
+    return std::nullopt;
+  }
+  const auto latest = std::max(recoveredAt_, sourceRecoveredAt_);
+  return isRecent(now, latest) ? latest : std::nullopt;
 }
 
 std::vector<HostPool> HostPresence::settle(TimePoint now) {
@@ -170,19 +187,19 @@
   return next;
 }
 
-bool HostPresence::isInPostOutageWindow(TimePoint now) const {
-  return inOutage_ || (recoveredAt_ && now - *recoveredAt_ <= options_.postOutageWindow);
-}
-
 TimePoint HostPresence::activeUntil(const Entry& entry) const {
-  TimePoint until = *entry.removedAt;
-  if (entry.afterOutage || entry.inMassRemoval) {
-    until = std::max(until, entry.lastPresentAt + options_.vanishedGrace);
+  TimePoint until = entry.lastPresentAt;
+  if (entry.afterOutage || entry.afterOutageOfSource || entry.inMassRemoval) {
+    until += options_.vanishedGrace;
+  }
+  if (entry.afterOutageOfSource) {
+    until = std::max(until, *sourceRecoveredAt_ + options_.outageGrace);
   }
-  if (entry.afterOutage && recoveredAt_) {
-    until = std::max(until, *recoveredAt_ + options_.outageGrace);
+  until = std::min(until, entry.lastPresentAt + options_.absenceLimit);
+  if (entry.afterOutage) {
+    until = std::max(until, outageGraceEnd());
   }
-  return until;
+  return std::max(until, *entry.removedAt);
 }
 
 bool HostPresence::receivesNewFlows(const Entry& entry, TimePoint now) const {
@@ -246,6 +263,13 @@
   }
 }
 
+GraceCause HostPresence::graceCauseOf(const Entry& entry) {
+  if (entry.afterOutage) {
+    return GraceCause::kOutage;
+  }
+  return entry.afterOutageOfSource ? GraceCause::kOutageOfSource : GraceCause::kMassRemoval;
+}
+
 void HostPresence::markKept(TimePoint now) {
   newlyKept_.clear();
   for (auto& [name, entry] : entries_) {
@@ -254,8 +278,7 @@
     }
     const TimePoint until = activeUntil(entry);
     if (std::exchange(entry.reportedUntil, until) != until) {
-      const GraceCause cause = entry.afterOutage ? GraceCause::kOutage : GraceCause::kMassRemoval;
-      newlyKept_.push_back({name, cause, entry.lastPresentAt, until});
+      newlyKept_.push_back({name, graceCauseOf(entry), entry.lastPresentAt, until});
     }
   }
 }
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -7,7 +7,17 @@
  * draining for the longest lifetime of a flow. Registrations also vanish when hosts cannot reach
  * the store for a while; such hosts are alive and register again within a heartbeat. Hosts whose
  * registrations vanish during or right after an outage, or together with a large part of their
- * pool, therefore stay active for a grace period. An endpoint is assigned to another host only
+ * pool, therefore stay active for a grace period.
+ *
+ * A host that has left must stop receiving new flows within a bound, and a node hears of its end
+ * late. Grace periods therefore never count from when this node hears:
+ * - without an outage of this node's own, they end HostPresenceOptions::absenceLimit after the last
+ *   time at which the registration existed for certain;
+ * - after an outage of this node's own, which may have been one of its path only, they end
+ *   HostPresenceOptions::outageLimit after the last time at which the store was certainly out of
+ *   reach.
+ *
+ * An endpoint is assigned to another host only
  * after its previous host has ended, so of two hosts with the same endpoint only the later one is
  * alive. Either registration may be wrong, however, as others may write registrations too.
  * Therefore a superseded host only stops receiving new flows while it is still registered, and
@@ -16,6 +26,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -57,8 +68,10 @@
 
 /** Why a host receives new flows although its registration ended. */
 enum class GraceCause : uint8_t {
-  /** The registration ended during or right after an outage of the store. */
+  /** The registration ended while this node could not read the store, or right after. */
   kOutage,
+  /** The same for the node from which this node gets its updates. */
+  kOutageOfSource,
   /** The registration ended together with a large part of its pool. */
   kMassRemoval,
 };
@@ -78,10 +91,26 @@
 
 /** Grace periods and thresholds. */
 struct HostPresenceOptions {
-  /** Grace period of a host whose registration vanished although the host may be alive. */
+  /**
+   * Grace period of a host whose registration vanished although the host may be alive, counted from
+   * when the registration last existed for certain.
+   */
   Duration vanishedGrace = std::chrono::seconds(2);
-  /** Grace period counted from the end of an outage; the longer of the two applies. */
-  Duration outageGrace = std::chrono::milliseconds(2500);
+  /**
+   * Grace period counted from the end of an outage; the longer of the two applies. Live hosts have
+   * registered again within 2 s of the store's return.
+   */
+  Duration outageGrace = std::chrono::milliseconds(2300);
+  /**
+   * Maximum time from when a registration last existed for certain until its host receives no new
+   * flows, unless this node itself lost the store.
+   */
+  Duration absenceLimit = std::chrono::milliseconds(2700);
+  /**
+   * Maximum time from when this node last found the store out of reach until hosts whose
+   * registrations vanished meanwhile receive no new flows.
+   */
+  Duration outageLimit = std::chrono::milliseconds(3700);
   /** Time after an outage in which a vanished registration is attributed to the outage. */
   Duration postOutageWindow = std::chrono::seconds(3);
   /**
@@ -110,34 +139,42 @@
   /**
    * Reports that a registration ended.
    * @param version of the event.
-   * @param lastPresentAt when the registration last existed as far as is known. Updates may be
-   * delayed, and the grace period counts from the end of the registration and not from its report.
+   * @param lastPresentAt when the registration last existed for certain. Updates may be delayed,
+   * and the grace period counts from the end of the registration and not from its report.
    * @return whether it changed anything.
    */
   bool onRemoved(TimePoint now, const std::string& host, uint64_t version, TimePoint lastPresentAt);
-  bool onRemoved(TimePoint now, const std::string& host, uint64_t version) {
-    return onRemoved(now, host, version, now);
-  }
   /**
    * Reports a complete, current list, after its hosts were passed to onRegistered(). Ends the
    * registrations that the list lacks.
    * @param version of the store when the list began: newer registrations may be missing from the
    * list.
+   * @param lastPresentAt see onRemoved().
    */
-  void onListed(TimePoint now, uint64_t version, const std::set<std::string>& hosts);
+  void onListed(TimePoint now, uint64_t version, const std::set<std::string>& hosts,
+                TimePoint lastPresentAt);
   /**
    * Restricts the pools whose hosts supersede other hosts with the same endpoint; until this is
    * called, the hosts of all pools do. Anyone can register an address under the name of a pool that
    * is not configured.
    */
   void setConfiguredPools(std::set<std::string> pools) { configuredPools_ = std::move(pools); }
-  /** Reports that the store cannot be read. */
-  void onOutage();
-  /** Reports that the store can be read again. */
+  /**
+   * Reports that this node cannot read the store.
+   * @param lostAt a time at which the store was out of reach for certain: when the call was sent
+   * that was not answered.
+   */
+  void onOutage(TimePoint lostAt);
+  /** Reports that the store answers, although hosts have not been read again yet. */
+  void onReachable(TimePoint now);
+  /** Reports that hosts can be read again. */
   void onRecovered(TimePoint now);
+  /** Reports the end of an outage that another node had, from which this node gets its updates. */
+  void onOutageOfSource(TimePoint endedAt) { sourceRecoveredAt_ = endedAt; }
 
   /**
-   * @return the end of the last outage, as long as vanished registrations may be its consequence.
+   * @return the end of the last outage, of this node or of its source, as long as vanished
+   * registrations may be its consequence.
    */
   std::optional<TimePoint> outageEndedAt(TimePoint now) const;
 
@@ -164,8 +201,10 @@
     std::optional<TimePoint> removedAt;
     /** When the registration last existed as far as is known; meaningful only after it ended. */
     TimePoint lastPresentAt{};
-    /** Whether the registration ended during or right after an outage. */
+    /** Whether the registration ended during or right after an outage of this node. */
     bool afterOutage = false;
+    /** The same for an outage of the node from which this node gets its updates. */
+    bool afterOutageOfSource = false;
     /** Whether the registration ended together with a large part of its pool. */
     bool inMassRemoval = false;
     /** Whether another host uses the endpoint; as of the last settle(). */
@@ -182,10 +221,18 @@
   bool maySupersede(const HostRegistration& registration) const {
     return !configuredPools_ || configuredPools_->contains(registration.pool);
   }
-  bool isInPostOutageWindow(TimePoint now) const;
+  /** @return whether the outage ended so recently that it explains vanished registrations. */
+  bool isRecent(TimePoint now, const std::optional<TimePoint>& recoveredAt) const {
+    return recoveredAt && now - *recoveredAt <= options_.postOutageWindow;
+  }
   bool receivesNewFlows(const Entry& entry, TimePoint now) const;
   /** @return the time until which a host whose registration ended stays active. */
   TimePoint activeUntil(const Entry& entry) const;
+  /** @return the end of the grace period during or after an outage of this node. */
+  TimePoint outageGraceEnd() const {
+    const TimePoint limit = lostAt_ + options_.outageLimit;
+    return inOutage_ ? limit : std::min(*recoveredAt_ + options_.outageGrace, limit);
+  }
   TimePoint expiresAt(const Entry& entry) const { return *entry.removedAt + options_.retention; }
   bool endedRecently(const Entry& entry, TimePoint now) const;
   void markMassRemovals(TimePoint now);
@@ -196,6 +243,7 @@
   bool hasEnded(const Entry& entry, TimePoint now) const {
     return entry.isSuperseded && entry.removedAt && now >= activeUntil(entry);
   }
+  static GraceCause graceCauseOf(const Entry& entry);
   /** Collects hosts whose grace period began or changed. */
   void markKept(TimePoint now);
   void dropExpired(TimePoint now);
@@ -209,7 +257,14 @@
   std::vector<KeptHost> newlyKept_;
   std::optional<std::set<std::string>> configuredPools_;
   bool inOutage_ = false;
+  /** When the store was last out of reach for certain; meaningful after an outage. */
+  TimePoint lostAt_{};
+  /** When the store answered again in the current outage. */
+  std::optional<TimePoint> reachableAt_;
+  /** End of this node's last outage. */
   std::optional<TimePoint> recoveredAt_;
+  /** End of the last outage of the node from which this node gets its updates. */
+  std::optional<TimePoint> sourceRecoveredAt_;
   TimePoint settledAt_;
 };
 
--- a/source/common/settings/token_node_settings.cc
+++ b/source/common/settings/token_node_settings.cc
@@ -193,6 +193,8 @@
                   kMaxBoundMilliseconds);
     reader.number("evacuation_bound_milliseconds", settings.evacuationBoundMilliseconds,
                   kMaxBoundMilliseconds, 0);
+    reader.number("disturbance_grace_milliseconds", settings.disturbanceGraceMilliseconds,
+                  kMaxBoundMilliseconds, 0);
     reader.number("store_history_seconds", settings.storeHistorySeconds, kMaxStoreHistorySeconds);
     reader.number("flow_life_seconds", settings.flowLifeSeconds, kMaxFlowLifeSeconds);
     reader.number("linger_milliseconds", settings.lingerMilliseconds, kMaxLingerMilliseconds);
@@ -247,6 +249,7 @@
   compare("change_bound_milliseconds", &S::changeBoundMilliseconds, false);
   compare("drain_bound_milliseconds", &S::drainBoundMilliseconds, false);
   compare("evacuation_bound_milliseconds", &S::evacuationBoundMilliseconds, false);
+  compare("disturbance_grace_milliseconds", &S::disturbanceGraceMilliseconds, false);
   compare("store_history_seconds", &S::storeHistorySeconds, false);
   compare("flow_life_seconds", &S::flowLifeSeconds, true);
   compare("linger_milliseconds", &S::lingerMilliseconds, true);
--- a/source/common/settings/token_node_settings.h
+++ b/source/common/settings/token_node_settings.h
@@ -54,6 +54,9 @@
   /** Maximum time until hosts of an evacuated zone receive no new flows after the store has the
    * evacuation, milliseconds; 0 if the platform has no evacuations. */
   uint32_t evacuationBoundMilliseconds = 0;
+  /** Time after a disturbance of this node or of its path to the store from which on the bounds
+   * above apply again, milliseconds; 0: they apply at once. */
+  uint32_t disturbanceGraceMilliseconds = 4000;
   /** Time for which the store keeps the changes that a watch may begin at, seconds. */
   uint32_t storeHistorySeconds = 20;
   /** Maximum lifetime of a flow, seconds. */
--- a/test/common/platform/host_presence_test.cc
+++ b/test/common/platform/host_presence_test.cc
@@ -44,7 +44,7 @@
     presence.onRegistered(successor);
   }
   void remove(int index) {
-    presence.onRemoved(now, nameOf(index), ++version);
+    presence.onRemoved(now, nameOf(index), ++version, now);
   }
   void settle() {
     for (HostPool& pool : presence.settle(now)) {
@@ -152,8 +152,9 @@
 
 TEST(HostPresence, HostThatVanishesAfterAnOutageStaysActiveForTheGracePeriod) {
   registerHosts(14);
-  presence.onOutage();
+  presence.onOutage(now);
   now += seconds(5);
+  presence.onOutage(now);
   presence.onRecovered(now);
   const TimePoint recovered = now;
   remove(0);
@@ -169,9 +170,85 @@
   LONGS_EQUAL(12, active());
 }
 
+/** Guards against flows on hosts that left while this node alone was cut off from the store. */
+TEST(HostPresence, NoGraceOutlastsTheLimitSinceTheStoreWasLastOutOfReach) {
+  registerHosts(14);
+  const TimePoint lostAt = now;
+  presence.onOutage(lostAt);
+  now += options.outageLimit - options.outageGrace + milliseconds(500);
+  presence.onReachable(now);
+  presence.onRecovered(now);
+  presence.onRemoved(now, nameOf(0), ++version, lostAt);
+  settle();
+  LONGS_EQUAL(14, active());
+  CHECK_TRUE(presence.nextChange() == lostAt + options.outageLimit);
+  now = lostAt + options.outageLimit;
+  settle();
+  LONGS_EQUAL(13, active());
+}
+
+TEST(HostPresence, TheGraceAfterAnOutageCountsFromTheFirstAnswerOfAnyKind) {
+  registerHosts(14);
+  presence.onOutage(now);
+  presence.onReachable(now);
+  const TimePoint reachableAt = now;
+  now += milliseconds(900);
+  presence.onReachable(now);
+  presence.onRecovered(now);
+  presence.onRemoved(now, nameOf(0), ++version, reachableAt);
+  settle();
+  LONGS_EQUAL(14, active());
+  CHECK_TRUE(presence.nextChange() == reachableAt + options.outageGrace);
+}
+
+TEST(HostPresence, AStoreThatIsLostAgainRestartsTheGracePeriod) {
+  registerHosts(14);
+  presence.onOutage(now);
+  presence.onReachable(now);
+  now += seconds(1);
+  presence.onOutage(now);
+  now += milliseconds(100);
+  presence.onRecovered(now);
+  remove(0);
+  settle();
+  CHECK_TRUE(presence.nextChange() == now + options.outageGrace);
+}
+
+/** Guards against refusals while the store is away and the last hosts seem to be gone. */
+TEST(HostPresence, HostsThatVanishInAnOutageStayActiveWhileItLasts) {
+  registerHosts(4);
+  presence.onOutage(now);
+  const TimePoint lostAt = now;
+  now += seconds(3);
+  for (int index = 0; index < 4; ++index) {
+    presence.onRemoved(now, nameOf(index), ++version, lostAt);
+  }
+  settle();
+  LONGS_EQUAL(4, active());
+  CHECK_TRUE(presence.nextChange() == lostAt + options.outageLimit);
+}
+
+/** Guards against flows on hosts that left while only this node's reader was cut off. */
+TEST(HostPresence, AnOutageOfTheSourceExtendsNoGraceBeyondTheAbsenceLimit) {
+  registerHosts(14);
+  const TimePoint lastPresentAt = now;
+  now += seconds(2);
+  presence.onOutageOfSource(now - milliseconds(100));
+  presence.onRemoved(now, nameOf(0), ++version, lastPresentAt);
+  presence.onRemoved(now, nameOf(1), ++version, now);
+  settle();
+  LONGS_EQUAL(14, active());
+  CHECK_TRUE(presence.nextChange() == lastPresentAt + options.absenceLimit);
+  now = lastPresentAt + options.absenceLimit;
+  settle();
+  LONGS_EQUAL(13, active());
+  CHECK_TRUE(presence.nextChange() ==
+             lastPresentAt + seconds(2) - milliseconds(100) + options.outageGrace);
+}
+
 TEST(HostPresence, HostThatRegistersAgainWithinTheGracePeriodStaysActive) {
   registerHosts(4);
-  presence.onOutage();
+  presence.onOutage(now);
   presence.onRecovered(now);
   for (int index = 0; index < 4; ++index) {
     remove(index);
@@ -190,7 +267,7 @@
   HostRegistration olderVersion = registration(0);
   presence.onRegistered(registration(0, HostState::kDraining));
   presence.onRegistered(olderVersion);
-  presence.onRemoved(now, nameOf(1), 1);
+  presence.onRemoved(now, nameOf(1), 1, now);
   settle();
   LONGS_EQUAL(3, active());
   CHECK_TRUE(pools["dispatch"].hosts[0].state == HostState::kDraining);
@@ -204,7 +281,7 @@
   for (int index = 0; index < 5; ++index) {
     names.insert(nameOf(index));
   }
-  presence.onListed(now, listVersion, names);
+  presence.onListed(now, listVersion, names, now);
   settle();
   LONGS_EQUAL(6, active());
   LONGS_EQUAL(1, draining());
@@ -265,7 +342,7 @@
 
 TEST(HostPresence, SupersededHostThatVanishesInAnOutageHasNotEndedWithinTheGracePeriod) {
   registerHostsAndSuccessor();
-  presence.onOutage();
+  presence.onOutage(now);
   presence.onRecovered(now);
   remove(0);
   settle();
--- a/test/common/settings/token_node_settings_test.cc
+++ b/test/common/settings/token_node_settings_test.cc
@@ -24,6 +24,7 @@
 change_bound_milliseconds = 5000
 drain_bound_milliseconds = 4000
 evacuation_bound_milliseconds = 5000
+disturbance_grace_milliseconds = 6000
 cold_rate_factor = 2
 cold_rate_allowance = 0
 store_history_seconds = 45
@@ -87,6 +88,7 @@
   CHECK_EQUAL(5000, read.changeBoundMilliseconds);
   CHECK_EQUAL(4000, read.drainBoundMilliseconds);
   CHECK_EQUAL(5000, read.evacuationBoundMilliseconds);
+  CHECK_EQUAL(6000, read.disturbanceGraceMilliseconds);
   DOUBLES_EQUAL(2.0, read.coldHosts.rateFactor, 1e-9);
   DOUBLES_EQUAL(0.0, read.coldHosts.rateAllowance, 1e-9);
   CHECK_EQUAL(45, read.storeHistorySeconds);
--- a/test/platform/store/lost_calls_test.cc
+++ b/test/platform/store/lost_calls_test.cc
@@ -1,6 +1,7 @@
 /** @file Tests calls that the store takes and never answers, while it answers others. */
 #include <thread>
 
+#include "platform/edge_store_options.h"
 #include "test/platform/store/adapter_fixture.h"
 
 using namespace umberhold;
@@ -175,6 +176,30 @@
   LONGS_EQUAL(0, adapter->status().failures);
 }
 
+/** Guards against flows on hosts that left while this node alone was cut off from the store. */
+TEST(LostCalls, AHostThatLeftInAnOwnOutageGetsNoFlowOnceTheBoundsApplyAgain) {
+  const TokenNodeSettings settings;
+  ObjectStoreOptions deployed = makeStoreOptions(settings, nullptr);
+  deployed.address = store->address();
+  storeConfigurationAndHosts(8);
+  adapter = std::make_unique<ObjectStoreAdapter>(deployed);
+  awaitList();
+  test::StandinFaults faults;
+  faults.responseMode = test::StoreResponseMode::kSilent;
+  faults.staysSilent = true;
+  store->setFaults(faults);
+  std::this_thread::sleep_for(milliseconds(500));
+  store->objects().remove("servers", "i-1", 0);
+  // The store returns just after it has lost a late probe, which is the worst moment.
+  constexpr uint64_t kLostProbes = 4;
+  const uint64_t probes = store->calls().reads;
+  CHECK_TRUE(follow([&] { return store->calls().reads >= probes + kLostProbes; }, seconds(20)));
+  store->setFaults({});
+  const TimePoint restoredAt = steadyNow();
+  CHECK_TRUE(follow([this] { return activeHosts() == 7; }, seconds(20)));
+  CHECK_TRUE(steadyNow() - restoredAt < milliseconds(settings.disturbanceGraceMilliseconds));
+}
+
 /**
  * The connection stays open without data: without a probe, the list would wait for its full
  * timeout.
--- a/test/platform/store/zone_reader_test.cc
+++ b/test/platform/store/zone_reader_test.cc
@@ -179,6 +179,7 @@
     options.registry = {milliseconds(100), seconds(1), milliseconds(200), milliseconds(50)};
     options.recoveryDelay = milliseconds(300);
     options.presence.vanishedGrace = percentOfBound(67);
+    options.presence.absenceLimit = percentOfBound(90);
     options.roster.nodesPerReader = nodesPerReader_;
     options.liveness.first = milliseconds(100);
     options.liveness.interval = percentOfBound(10);
--- a/test/soak/world/deployment_plan.cc
+++ b/test/soak/world/deployment_plan.cc
@@ -71,6 +71,7 @@
   }
   text << "]\nchange_bound_milliseconds = " << millisecondsOf(plan.bounds().change)
        << "\ndrain_bound_milliseconds = " << millisecondsOf(plan.bounds().drain)
+       << "\ndisturbance_grace_milliseconds = " << millisecondsOf(plan.bounds().settleTime)
        << "\nflow_life_seconds = 60\n";
   if (firstStart) {
     text << "first_start = true\n";
