Give no host new flows for an outage later than the one in which it left

What callers saw: openings placed on hosts that had left 13 to 40 s before, whenever the node lost the store once more. Cause: entries that ended in an outage were marked, and the grace counted from the end of the last outage for all marks of the last 75 s. Change: outages have numbers, and an entry keeps that of its own; entries still in their grace go over to an outage that begins meanwhile. Why it works: only the outage in which an entry ended can explain that it did. Tests: HostPresence.AHostThatLeftInAnEarlierOutageIsNotUsedAfterALaterOne failed before (14 active hosts, 13 expected) and passes.

--- a/source/common/platform/host_presence.cc
+++ b/source/common/platform/host_presence.cc
@@ -68,7 +68,7 @@
   }
   entry.registration = std::move(registration);
   entry.removedAt.reset();
-  entry.afterOutage = false;
+  entry.outage.reset();
   entry.afterOutageOfSource = false;
   entry.inMassRemoval = false;
   return true;
@@ -85,7 +85,9 @@
   entry.registration.version = version;
   entry.removedAt = now;
   entry.lastPresentAt = lastPresentAt;
-  entry.afterOutage = inOutage_ || isRecent(now, recoveredAt_);
+  if (inOutage_ || isRecent(now, recoveredAt_)) {
+    entry.outage = outage_;
+  }
   entry.afterOutageOfSource = isRecent(now, sourceRecoveredAt_);
   return true;
 }
@@ -100,11 +102,25 @@
 }
 
 void HostPresence::onOutage(TimePoint lostAt) {
-  inOutage_ = true;
+  if (!inOutage_) {
+    beginOutage(lostAt);
+  }
   lostAt_ = std::max(lostAt_, lostAt);
   reachableAt_.reset();
 }
 
+void HostPresence::beginOutage(TimePoint lostAt) {
+  const uint64_t next = outage_ + 1;
+  for (auto& [name, entry] : entries_) {
+    if (entry.removedAt && vanishedInLastOutage(entry) && lostAt < activeUntil(entry)) {
+      // The host had no time to register again before the store was lost once more.
+      entry.outage = next;
+    }
+  }
+  outage_ = next;
+  inOutage_ = true;
+}
+
 void HostPresence::onReachable(TimePoint now) {
   if (inOutage_ && !reachableAt_) {
     reachableAt_ = now;
@@ -189,14 +205,14 @@
 
 TimePoint HostPresence::activeUntil(const Entry& entry) const {
   TimePoint until = entry.lastPresentAt;
-  if (entry.afterOutage || entry.afterOutageOfSource || entry.inMassRemoval) {
+  if (entry.outage || entry.afterOutageOfSource || entry.inMassRemoval) {
     until += options_.vanishedGrace;
   }
   if (entry.afterOutageOfSource) {
     until = std::max(until, *sourceRecoveredAt_ + options_.outageGrace);
   }
   until = std::min(until, entry.lastPresentAt + options_.absenceLimit);
-  if (entry.afterOutage) {
+  if (vanishedInLastOutage(entry)) {
     until = std::max(until, outageGraceEnd());
   }
   return std::max(until, *entry.removedAt);
@@ -263,8 +279,8 @@
   }
 }
 
-GraceCause HostPresence::graceCauseOf(const Entry& entry) {
-  if (entry.afterOutage) {
+GraceCause HostPresence::graceCauseOf(const Entry& entry) const {
+  if (vanishedInLastOutage(entry)) {
     return GraceCause::kOutage;
   }
   return entry.afterOutageOfSource ? GraceCause::kOutageOfSource : GraceCause::kMassRemoval;
--- a/source/common/platform/host_presence.h
+++ b/source/common/platform/host_presence.h
@@ -201,8 +201,8 @@
     std::optional<TimePoint> removedAt;
     /** When the registration last existed as far as is known; meaningful only after it ended. */
     TimePoint lastPresentAt{};
-    /** Whether the registration ended during or right after an outage of this node. */
-    bool afterOutage = false;
+    /** Number of the outage of this node during or right after which the registration ended. */
+    std::optional<uint64_t> outage;
     /** The same for an outage of the node from which this node gets its updates. */
     bool afterOutageOfSource = false;
     /** Whether the registration ended together with a large part of its pool. */
@@ -235,6 +235,7 @@
   }
   TimePoint expiresAt(const Entry& entry) const { return *entry.removedAt + options_.retention; }
   bool endedRecently(const Entry& entry, TimePoint now) const;
+  void beginOutage(TimePoint lostAt);
   void markMassRemovals(TimePoint now);
   std::unordered_map<Endpoint, LatestHosts> latestHosts() const;
   /** Marks hosts whose endpoint a later host uses. */
@@ -243,7 +244,9 @@
   bool hasEnded(const Entry& entry, TimePoint now) const {
     return entry.isSuperseded && entry.removedAt && now >= activeUntil(entry);
   }
-  static GraceCause graceCauseOf(const Entry& entry);
+  /** @return whether the registration ended in the last outage of this node, or right after. */
+  bool vanishedInLastOutage(const Entry& entry) const { return entry.outage == outage_; }
+  GraceCause graceCauseOf(const Entry& entry) const;
   /** Collects hosts whose grace period began or changed. */
   void markKept(TimePoint now);
   void dropExpired(TimePoint now);
@@ -257,6 +260,8 @@
   std::vector<KeptHost> newlyKept_;
   std::optional<std::set<std::string>> configuredPools_;
   bool inOutage_ = false;
+  /** Number of this node's last outage. */
+  uint64_t outage_ = 0;
   /** When the store was last out of reach for certain; meaningful after an outage. */
   TimePoint lostAt_{};
   /** When the store answered again in the current outage. */
--- a/test/common/platform/host_presence_test.cc
+++ b/test/common/platform/host_presence_test.cc
@@ -214,6 +214,43 @@
   CHECK_TRUE(presence.nextChange() == now + options.outageGrace);
 }
 
+/** Guards against flows on hosts that left long ago, each time that the store is lost. */
+TEST(HostPresence, AHostThatLeftInAnEarlierOutageIsNotUsedAfterALaterOne) {
+  registerHosts(14);
+  presence.onOutage(now);
+  presence.onRecovered(now);
+  remove(0);
+  settle();
+  now += seconds(10);
+  settle();
+  LONGS_EQUAL(13, active());
+  presence.onOutage(now);
+  settle();
+  LONGS_EQUAL(13, active());
+  presence.onRecovered(now);
+  settle();
+  LONGS_EQUAL(13, active());
+}
+
+TEST(HostPresence, HostsOfAnOutageKeepTheirGraceIfTheStoreIsLostAgain) {
+  registerHosts(4);
+  presence.onOutage(now);
+  presence.onRecovered(now);
+  for (int index = 0; index < 4; ++index) {
+    remove(index);
+  }
+  now += seconds(1);
+  presence.onOutage(now);
+  now += seconds(3);
+  settle();
+  LONGS_EQUAL(4, active());
+  presence.onOutage(now);
+  presence.onRecovered(now);
+  now += seconds(2);
+  settle();
+  LONGS_EQUAL(4, active());
+}
+
 /** Guards against refusals while the store is away and the last hosts seem to be gone. */
 TEST(HostPresence, HostsThatVanishInAnOutageStayActiveWhileItLasts) {
   registerHosts(4);
