--- a/source/common/token/recent_flows.h
+++ b/source/common/token/recent_flows.h
@@ -37,7 +37,7 @@
 };
 
 /**
- * Holds at most 8,192 flows in 1.2 MB, whatever the number of flows that a node carries. If more
+ * Holds at most 8,192 flows in 1.3 MB, whatever the number of flows that a node carries. If more
  * are open, the flows that were idle the longest are evicted first. Not thread safe.
  */
 class RecentFlows {
