Let the soak take routes away and add them again, and let hosts leave unseen

The middle zone has three nodes. Hosts that leave so serve on for three times the bound. The check of open flows leaves out flows whose route a version dropped since they were opened, as the users' rules do, and no others.

--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -63,11 +63,12 @@
   TCLAP::ValuesConstraint<std::string> knownLoads(loads);
   TCLAP::ValueArg<std::string> load("", "load", "load of the callers and capacity of the hosts",
                                     false, "hard", &knownLoads, command);
-  std::vector<std::string> days = {"mixed", "short_silences"};
+  std::vector<std::string> days = {"mixed", "short_silences", "absences"};
   TCLAP::ValuesConstraint<std::string> knownDays(days);
   TCLAP::ValueArg<std::string> day("", "day",
-                                   "kinds of faults: all, or short silences of the store", false,
-                                   "mixed", &knownDays, command);
+                                   "kinds of faults: all, short silences of the store, or routes "
+                                   "that return and hosts that leave unseen",
+                                   false, "mixed", &knownDays, command);
   TCLAP::ValueArg<uint32_t> staleLag(
       "", "stale-lag", "age of answers that may be stale; drawn from the seed by default", false, 0,
       "ms", command);
@@ -90,7 +91,7 @@
   options.seconds = seconds.getValue();
   options.sabotage = *kind;
   options.load = load.getValue() == "hard" ? SoakLoad::kHard : SoakLoad::kUsual;
-  options.day = day.getValue() == "mixed" ? SoakDay::kMixed : SoakDay::kShortSilences;
+  options.day = *soakDayNamed(day.getValue());
   if (staleLag.isSet()) {
     options.staleLag = std::chrono::milliseconds(staleLag.getValue());
   }
--- a/test/soak/unit/caller_and_host_test.cc
+++ b/test/soak/unit/caller_and_host_test.cc
@@ -66,7 +66,7 @@
         toHost.push_back(kAnyHost + packet);
       }
     };
-    callerHooks.openFlowReset = [this](const FlowName&) { ++resets; };
+    callerHooks.openFlowReset = [this](const FlowName&, TimePoint) { ++resets; };
     callerHooks.wrongAnswer = [this](const std::string&) { ++wrong; };
     callerHooks.notRun = [this](uint64_t request) { notRun.insert(request); };
     callerHooks.ended = [](TimePoint, bool) {};
--- a/test/soak/unit/route_tracker_test.cc
+++ b/test/soak/unit/route_tracker_test.cc
@@ -114,4 +114,20 @@
   CHECK_FALSE(tracker.mayRun({1, 1}, "mapstore"));
 }
 
+TEST(RouteTracker, AReturningRouteIsPresentSinceItsVersionWasAcknowledged) {
+  const Endpoint route{1, 1};
+  store(1);
+  CHECK_TRUE(tracker.isPresentSince(route, now));
+  tracker.setPresent(0, false);
+  CHECK_TRUE(tracker.nextVersion(0).find("alerts") == std::string::npos);
+  CHECK_FALSE(tracker.isPresentSince(route, now));
+  tracker.setPresent(0, true);
+  CHECK_TRUE(tracker.nextVersion(0).find("alerts") != std::string::npos);
+  CHECK_FALSE(tracker.isPresentSince(route, now));
+  now += seconds(1);
+  tracker.onAcknowledged(now);
+  CHECK_FALSE(tracker.isPresentSince(route, now - milliseconds(1)));
+  CHECK_TRUE(tracker.isPresentSince(route, now));
+}
+
 }  // namespace umberhold::soak
--- a/test/soak/world/deployment_plan.cc
+++ b/test/soak/world/deployment_plan.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 DeploymentPlan::DeploymentPlan(uint8_t block) : block_(block) {
-  const std::vector<size_t> zoneOfNode = {0, 0, 0, 0, 0, 0, 1, 1, 2, 2};
+  const std::vector<size_t> zoneOfNode = {0, 0, 0, 0, 0, 0, 1, 1, 1, 2, 2};
   for (size_t index = 0; index < zoneOfNode.size(); ++index) {
     NodePlan node;
     node.zone = zones_[zoneOfNode[index]];
@@ -40,6 +40,18 @@
   }
 }
 
+std::vector<size_t> DeploymentPlan::nodesOfZonesWith(size_t nodeCount) const {
+  std::vector<size_t> found;
+  for (size_t index = 0; index < nodes_.size(); ++index) {
+    const auto isInZone = [&](const NodePlan& node) { return node.zone == nodes_[index].zone; };
+    const auto inZone = std::count_if(nodes_.begin(), nodes_.end(), isInZone);
+    if (static_cast<size_t>(inZone) == nodeCount) {
+      found.push_back(index);
+    }
+  }
+  return found;
+}
+
 uint32_t DeploymentPlan::address(uint32_t group, uint32_t number) const {
   constexpr uint32_t kLoopback = 127;
   const uint32_t thirdOctet = group + number / kAddressesPerGroup;
--- a/test/soak/world/deployment_plan.h
+++ b/test/soak/world/deployment_plan.h
@@ -56,6 +56,8 @@
 
   const std::vector<NodePlan>& nodes() const { return nodes_; }
   const std::vector<std::string>& zones() const { return zones_; }
+  /** @return the indices of the nodes in the zones that have this many nodes. */
+  std::vector<size_t> nodesOfZonesWith(size_t nodeCount) const;
   const TimeBounds& bounds() const { return bounds_; }
   Endpoint hostAddress(uint32_t number) const;
   uint32_t callerAddress(uint32_t number) const;
--- a/test/soak/world/fault_injector.cc
+++ b/test/soak/world/fault_injector.cc
@@ -26,6 +26,12 @@
 /** Hosts of the affected service that remain during a capacity shortage. */
 constexpr size_t kMainServiceHostsLeft = 3;
 constexpr size_t kSplitServiceHostsLeft = 1;
+/** Time between two routes that are added again, so that they last as long as the restarts. */
+constexpr Duration kRouteReturnInterval = std::chrono::milliseconds(900);
+/** Each node of such a zone reads the store itself. */
+constexpr size_t kNodesOfZoneWithoutReader = 2;
+/** If two of them are lost, the third one has no other node to follow. */
+constexpr size_t kNodesOfSmallestZoneWithReader = 3;
 constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
 /** Time from a change to a short silence: nodes that read for themselves watch again 0.9 s after a
  * change. */
@@ -121,7 +127,7 @@
     case FaultKind::kKillAll:
       return killShare(now, fault, nodeCount);
     case FaultKind::kFreezeNode:
-      return freezeNode(now, fault);
+      return freezeNode(now, chosenNode(fault), fault.duration);
     case FaultKind::kRestartNode:
       return restartNode(now, chosenNode(fault));
     case FaultKind::kRollingRestart:
@@ -145,11 +151,10 @@
   }
 }
 
-void FaultInjector::freezeNode(TimePoint now, const Fault& fault) {
-  const size_t node = chosenNode(fault);
+void FaultInjector::freezeNode(TimePoint now, size_t node, Duration duration) {
   beginDisturbance(nameOf(node), Cause::kUnplanned, now);
   nodes_.signal(node, SIGSTOP);
-  scheduleStep(now + fault.duration, [this, node](TimePoint later) {
+  scheduleStep(now + duration, [this, node](TimePoint later) {
     nodes_.signal(node, SIGCONT);
     endDisturbance(nameOf(node), Cause::kUnplanned, later);
   });
@@ -200,7 +205,7 @@
       faults.slow = kSlowStoreDelay;
       break;
     case FaultKind::kCutFromStore:
-      return cutFromStore(now, fault);
+      return cutFromStore(now, chosenNode(fault), fault.duration);
     default:
       recordInstantDisturbance("store", Cause::kUnplanned, now);
       store_.objects().forgetHistory();
@@ -240,11 +245,10 @@
   });
 }
 
-void FaultInjector::cutFromStore(TimePoint now, const Fault& fault) {
-  const size_t node = chosenNode(fault);
+void FaultInjector::cutFromStore(TimePoint now, size_t node, Duration duration) {
   beginDisturbance(nameOf(node), Cause::kUnplanned, now);
   nodes_.setCut(node, true);
-  scheduleStep(now + fault.duration, [this, node](TimePoint later) {
+  scheduleStep(now + duration, [this, node](TimePoint later) {
     nodes_.setCut(node, false);
     endDisturbance(nameOf(node), Cause::kUnplanned, later);
   });
@@ -294,22 +298,27 @@
 }
 
 void FaultInjector::injectHardLoadFault(TimePoint now, const Fault& fault) {
-  if (fault.kind == FaultKind::kOverloadedLink) {
-    overloadLinks(now, fault);
-    return;
-  }
-  if (fault.kind == FaultKind::kForeignEntry) {
-    writeForeignEntry(now, fault);
-    return;
-  }
-  if (fault.kind == FaultKind::kShortSilence) {
-    silenceStoreAfterChange(now, fault);
-    return;
-  }
-  if (fault.kind != FaultKind::kRestartHost) {
-    reduceCapacity(now, fault);
-    return;
+  switch (fault.kind) {
+    case FaultKind::kOverloadedLink:
+      return overloadLinks(now, fault);
+    case FaultKind::kForeignEntry:
+      return writeForeignEntry(now, fault);
+    case FaultKind::kShortSilence:
+      return silenceStoreAfterChange(now, fault);
+    case FaultKind::kRoutesReturn:
+      return removeRoutes(now);
+    case FaultKind::kLeaveUnseen:
+      return leaveUnseen(now, fault);
+    case FaultKind::kLeaveWithReader:
+      return leaveWithReader(now, fault);
+    case FaultKind::kRestartHost:
+      return restartHost(fault);
+    default:
+      return reduceCapacity(now, fault);
   }
+}
+
+void FaultInjector::restartHost(const Fault& fault) {
   const std::lock_guard lock(world_.mutex());
   const std::vector<size_t> serving = world_.hosts().serving();
   if (!serving.empty()) {
@@ -429,6 +438,98 @@
   }
 }
 
+void FaultInjector::removeRoutes(TimePoint now) {
+  if (storeFaultActive_ || routesAbsent_) {
+    return;  // The store takes no change, or the routes are absent already.
+  }
+  routesAbsent_ = true;
+  const std::lock_guard lock(world_.mutex());
+  const std::vector<size_t> routes = world_.returningRoutes();
+  for (const size_t route : routes) {
+    world_.routes().setPresent(route, false);
+  }
+  world_.storeConfiguration(0);
+  const TimePoint returnAt = now + plan_.bounds().change + kAfterSettling;
+  scheduleStep(returnAt, [this](TimePoint later) { rollingRestart(later); });
+  for (size_t index = 0; index < routes.size(); ++index) {
+    const TimePoint at = returnAt + static_cast<Duration::rep>(index + 1) * kRouteReturnInterval;
+    const bool isLast = index + 1 == routes.size();
+    scheduleStep(at, [this, route = routes[index], isLast](TimePoint later) {
+      returnRoute(later, route);
+      routesAbsent_ = routesAbsent_ && !isLast;
+    });
+  }
+}
+
+void FaultInjector::returnRoute(TimePoint now, size_t route) {
+  if (storeFaultActive_) {
+    scheduleStep(now + kRetryInterval,
+                 [this, route](TimePoint later) { returnRoute(later, route); });
+    return;
+  }
+  const std::lock_guard lock(world_.mutex());
+  world_.routes().setPresent(route, true);
+  world_.storeConfiguration(0);
+}
+
+void FaultInjector::replaceWithoutDraining(TimePoint now, const std::string& zone,
+                                           const std::string& service, size_t count) {
+  if (storeFaultActive_) {
+    return;  // The store takes no change.
+  }
+  const std::lock_guard lock(world_.mutex());
+  for (const size_t slot : world_.hosts().servingNear(zone)) {
+    const bool isWanted =
+        service.empty() || world_.hosts().slots()[slot].host->plan().service == service;
+    if (isWanted && count > 0) {
+      world_.hosts().replaceWithoutDraining(now, slot);
+      --count;
+    }
+  }
+}
+
+size_t FaultInjector::servingCount(const std::string& service) {
+  const std::lock_guard lock(world_.mutex());
+  return world_.hosts().serving(service).size();
+}
+
+void FaultInjector::leaveUnseen(TimePoint now, const Fault& fault) {
+  const std::vector<size_t> readers = plan_.nodesOfZonesWith(kNodesOfZoneWithoutReader);
+  const size_t node = readers[fault.choice % readers.size()];
+  cutFromStore(now, node, fault.duration);
+  scheduleStep(now + fault.duration / 4, [this, node](TimePoint later) {
+    replaceWithoutDraining(later, plan_.nodes()[node].zone, "", 1);
+  });
+  scheduleStep(now + fault.duration + plan_.bounds().settleTime + kAfterSettling, [](TimePoint) {});
+}
+
+void FaultInjector::leaveWithReader(TimePoint now, const Fault& fault) {
+  enum Form : uint64_t { kKilled, kFrozen, kCut, kForms };
+  const uint64_t form = fault.choice % kForms;
+  const Duration duration = std::max(fault.duration, plan_.bounds().drain);
+  const std::vector<size_t> zone = plan_.nodesOfZonesWith(kNodesOfSmallestZoneWithReader);
+  const size_t left = zone[fault.choice / kForms % zone.size()];
+  for (const size_t node : zone) {
+    if (node == left) {
+      continue;
+    }
+    if (form == kKilled) {
+      killNode(now, node);
+    } else if (form == kFrozen) {
+      freezeNode(now, node, duration);
+    } else {
+      cutFromStore(now, node, duration);
+    }
+  }
+  // The callers of these routes open flows all the time.
+  const std::string& service =
+      world_.routes().routes()[world_.returningRoutes().front()].services.front().first;
+  // With their successors, which start at once, more than a third of the pool.
+  const size_t leaving = servingCount(service) / 2 + 1;
+  replaceWithoutDraining(now, plan_.nodes()[left].zone, service, leaving);
+  scheduleStep(now + 2 * plan_.bounds().drain, [](TimePoint) {});
+}
+
 void FaultInjector::injectConfigurationFault(TimePoint now, const Fault& fault) {
   const auto storeConfiguration = [this](uint32_t extraRoutes) {
     if (!storeFaultActive_) {
--- a/test/soak/world/fault_injector.h
+++ b/test/soak/world/fault_injector.h
@@ -43,15 +43,16 @@
   size_t chosenNode(const Fault& fault) const;
   void killNode(TimePoint now, size_t node);
   void killShare(TimePoint now, const Fault& fault, size_t count);
-  void freezeNode(TimePoint now, const Fault& fault);
+  void freezeNode(TimePoint now, size_t node, Duration duration);
   void restartNode(TimePoint now, size_t node);
   void rollingRestart(TimePoint now);
   void applyStoreFaults(TimePoint now, const Fault& fault, const test::StandinFaults& faults);
-  void cutFromStore(TimePoint now, const Fault& fault);
+  void cutFromStore(TimePoint now, size_t node, Duration duration);
   void makeFabricLossy(TimePoint now, const Fault& fault);
   void drainHosts(TimePoint now, const Fault& fault);
   void crashHost(TimePoint now, const Fault& fault, bool reuse);
   void injectHardLoadFault(TimePoint now, const Fault& fault);
+  void restartHost(const Fault& fault);
   void silenceStoreAfterChange(TimePoint now, const Fault& fault);
   /** Changes the configuration and makes a host leave, at the same time. */
   void changeConfigurationAndHost(TimePoint now, uint64_t choice);
@@ -61,6 +62,18 @@
   /** Starts the given number of hosts of the service and stops the extra callers. */
   void restoreCapacity(TimePoint now, const std::string& service, size_t hosts);
   void killReader(TimePoint now);
+  void removeRoutes(TimePoint now);
+  /** Adds the route again; retries while the store takes no change. */
+  void returnRoute(TimePoint now, size_t route);
+  size_t servingCount(const std::string& service);
+  void leaveUnseen(TimePoint now, const Fault& fault);
+  void leaveWithReader(TimePoint now, const Fault& fault);
+  /**
+   * Hosts leave without draining, those of the zone first, and new ones start.
+   * @param service of the hosts; any if empty.
+   */
+  void replaceWithoutDraining(TimePoint now, const std::string& zone, const std::string& service,
+                              size_t count);
   /** Restarts ended nodes whose restart is due. */
   void restartEndedNodes(TimePoint now);
 
@@ -77,6 +90,8 @@
   std::map<FaultKind, uint64_t> counts_;
   /** Whether a store fault is active; only one is active at a time. */
   bool storeFaultActive_ = false;
+  /** Whether routes are absent that are still to be added again. */
+  bool routesAbsent_ = false;
 };
 
 }  // namespace umberhold::soak
--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -18,6 +18,11 @@
 constexpr uint64_t kForeignEntryStream = 3;
 constexpr uint64_t kShortSilenceStream = 4;
 constexpr uint64_t kStaleLagStream = 5;
+constexpr uint64_t kAbsenceStream = 6;
+constexpr double kMinAbsenceSeconds = 0.5;
+constexpr double kMaxAbsenceSeconds = 6.0;
+constexpr double kMinAbsenceGapSeconds = 1.0;
+constexpr double kMaxAbsenceGapSeconds = 4.0;
 constexpr double kMeanForeignEntryGapSeconds = 3.0;
 /** Shorter than the time between two probes of the store, so that most are not noticed by probes.
  */
@@ -105,6 +110,12 @@
       return "foreign_entry";
     case FaultKind::kShortSilence:
       return "short_silence";
+    case FaultKind::kRoutesReturn:
+      return "routes_return";
+    case FaultKind::kLeaveUnseen:
+      return "leave_unseen";
+    case FaultKind::kLeaveWithReader:
+      return "leave_with_reader";
     case FaultKind::kCount:
       break;
   }
@@ -197,6 +208,25 @@
   return faults;
 }
 
+std::vector<Fault> drawAbsences(uint64_t seed, Duration length) {
+  RandomSource random(mixHash(seed, kAbsenceStream));
+  std::vector<Fault> faults;
+  Duration at = secondsOf(drawBetween(random, 0, kMinAbsenceGapSeconds));
+  while (at < length) {
+    constexpr auto kFirst = static_cast<uint64_t>(FaultKind::kRoutesReturn);
+    constexpr uint64_t kKinds = static_cast<uint64_t>(FaultKind::kCount) - kFirst;
+    Fault fault;
+    fault.kind = static_cast<FaultKind>(kFirst + random.below(kKinds));
+    fault.at = at;
+    fault.duration = secondsOf(drawBetween(random, kMinAbsenceSeconds, kMaxAbsenceSeconds));
+    fault.choice = random.below(UINT32_MAX);
+    faults.push_back(fault);
+    at += fault.duration +
+          secondsOf(drawBetween(random, kMinAbsenceGapSeconds, kMaxAbsenceGapSeconds));
+  }
+  return faults;
+}
+
 Duration drawStaleLag(uint64_t seed) {
   RandomSource random(mixHash(seed, kStaleLagStream));
   return secondsOf(drawBetween(random, 0, kMaxStaleLagSeconds));
--- a/test/soak/world/fault_plan.h
+++ b/test/soak/world/fault_plan.h
@@ -51,6 +51,13 @@
    * configuration and of a host, when the nodes' next watches arrive; another such change follows
    * once the bounds apply again. */
   kShortSilence,
+  /** Routes are removed, and added again one after the other during a rolling restart. */
+  kRoutesReturn,
+  /** A node that reads the store itself is cut off from it while a host leaves without draining. */
+  kLeaveUnseen,
+  /** All nodes of a zone but one are killed, frozen or cut off from the store just as many hosts of
+   * a service leave without draining. */
+  kLeaveWithReader,
   kCount,
 };
 
@@ -87,6 +94,9 @@
 std::vector<Fault> drawForeignEntries(uint64_t seed, Duration length);
 /** Short silences, one after the other, which also have their own random stream. */
 std::vector<Fault> drawShortSilences(uint64_t seed, Duration length);
+/** Routes that return and hosts that leave unseen, under both loads, which also have their own
+ * random stream. They do not overlap each other. */
+std::vector<Fault> drawAbsences(uint64_t seed, Duration length);
 /** @return how long ago the state was that the store shows in answers that may be stale. */
 Duration drawStaleLag(uint64_t seed);
 
--- a/test/soak/world/host_fleet.cc
+++ b/test/soak/world/host_fleet.cc
@@ -17,6 +17,9 @@
  * openings was not detected in 1 of 3 runs. */
 constexpr double kMinStayFraction = 0.5;
 constexpr double kMaxStayFraction = 2.0;
+/** How long a host that leaves without draining on purpose serves on, as a multiple of the bound:
+ * it must outlive the settle time of a node that was cut off. */
+constexpr double kUnseenStay = 3.0;
 /** On average one of this many leaving hosts loses its entry without announcing its drain. */
 constexpr uint64_t kSilentLeavePeriod = 3;
 /** Work time of the fastest host, and the (exclusive) maximum excess of slower ones. */
@@ -136,9 +139,21 @@
   leave(now, slot);
 }
 
+void HostFleet::replaceWithoutDraining(TimePoint now, size_t slot) {
+  const HostPlan leavingPlan = slots_[slot].host->plan();
+  if (start(now, leavingPlan.service, leavingPlan.zone)) {
+    leave(now, slot, true);
+    slots_[slot].endsAt = now + scaled(plan_.bounds().drain, kUnseenStay);
+  }
+}
+
 void HostFleet::leave(TimePoint now, size_t slot) {
+  leave(now, slot, random_.below(kSilentLeavePeriod) == 0);
+}
+
+void HostFleet::leave(TimePoint now, size_t slot, bool withoutDraining) {
   HostSlot& leaving = slots_[slot];
-  leaving.leavesWithoutDraining = random_.below(kSilentLeavePeriod) == 0;
+  leaving.leavesWithoutDraining = withoutDraining;
   leaving.leavingSince = now;
   leaving.acknowledgedBySettledStore = isStoreSettled_(now);
   const double stayFraction =
@@ -243,6 +258,13 @@
   return found;
 }
 
+std::vector<size_t> HostFleet::servingNear(const std::string& zone) const {
+  std::vector<size_t> found = serving();
+  std::stable_partition(found.begin(), found.end(),
+                        [&](size_t slot) { return slots_[slot].host->plan().zone == zone; });
+  return found;
+}
+
 std::vector<size_t> HostFleet::serving(const std::string& service) const {
   std::vector<size_t> found = serving();
   std::erase_if(found, [this, &service](size_t slot) {
--- a/test/soak/world/host_fleet.h
+++ b/test/soak/world/host_fleet.h
@@ -48,8 +48,10 @@
 
   /** Starts a host of the service. @return its slot, or nothing if no address is free. */
   std::optional<size_t> start(TimePoint now, const std::string& service, const std::string& zone);
-  /** Makes the host leave; it ends some time later. */
+  /** Makes the host leave; it ends some time later. Some leave without draining. */
   void leave(TimePoint now, size_t slot);
+  /** Starts a successor and makes the host leave without draining. */
+  void replaceWithoutDraining(TimePoint now, size_t slot);
   /** Restarts the host immediately under its id; all its state is lost. */
   void restart(size_t slot);
   /** Starts a successor and makes the host leave. */
@@ -76,12 +78,15 @@
   /** @return the slots whose hosts accept new flows. */
   std::vector<size_t> serving() const;
   std::vector<size_t> serving(const std::string& service) const;
+  /** @return the same with the hosts of the zone first, which its nodes prefer. */
+  std::vector<size_t> servingNear(const std::string& zone) const;
   /** @return the slot of the running host on which the flow is open. */
   std::optional<size_t> holderOf(const FlowName& flow) const;
   std::vector<HostSlot>& slots() { return slots_; }
   const std::vector<HostSlot>& slots() const { return slots_; }
 
  private:
+  void leave(TimePoint now, size_t slot, bool withoutDraining);
   std::optional<size_t> freeSlot(TimePoint now) const;
   void startAt(size_t slot, const std::string& service, const std::string& zone);
   void runHost(size_t slot, HostPlan host);
--- a/test/soak/world/route_tracker.cc
+++ b/test/soak/world/route_tracker.cc
@@ -59,7 +59,12 @@
   std::ostringstream text;
   text << R"({"version":)" << version() * 10 << R"(,"routes":[)";
   const auto& firstRouteServices = routes_.front().services;
-  for (const CallerRoute& route : routes_) {
+  for (size_t index = 0; index < routes_.size(); ++index) {
+    const CallerRoute& route = routes_[index];
+    if (absent_.contains(index)) {
+      presentSince_[index] = TimePoint::max();
+      continue;
+    }
     writeRoute(text, route.name, route.listen, route.repeatable, route.services, route.priority);
     text << ",";
   }
@@ -86,6 +91,29 @@
   return text.str();
 }
 
+void RouteTracker::setPresent(size_t route, bool present) {
+  if (present) {
+    absent_.erase(route);
+  } else {
+    absent_.insert(route);
+  }
+}
+
+void RouteTracker::onAcknowledged(TimePoint now) {
+  versions_.back().acknowledgedAt = now;
+  for (auto& [route, since] : presentSince_) {
+    if (since == TimePoint::max() && !absent_.contains(route)) {
+      since = now;
+    }
+  }
+}
+
+bool RouteTracker::isPresentSince(const Endpoint& route, TimePoint time) const {
+  return std::none_of(presentSince_.begin(), presentSince_.end(), [&](const auto& returned) {
+    return routes_[returned.first].listen == route && returned.second > time;
+  });
+}
+
 void RouteTracker::onNodeStarted(size_t node) {
   ++processNumbers_[node];
   shownVersions_.erase(node);
--- a/test/soak/world/route_tracker.h
+++ b/test/soak/world/route_tracker.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   std::vector<std::pair<std::string, uint32_t>> services;
   /** 0 is the most urgent; empty: not set in the configuration. */
   std::optional<uint32_t> priority = std::nullopt;
+  /** Whether the route is absent from some versions; see RouteTracker::setPresent(). */
+  bool returns = false;
 };
 
 /** A probe in flight. */
@@ -59,10 +62,14 @@
                ViolationRecord& promises, const DisturbanceTracker& disturbances,
                RouteTrackerOptions options = {});
 
+  /** Sets whether the route is part of the next versions. */
+  void setPresent(size_t route, bool present);
+  /** @return whether no version since the time has lacked the route of the address. */
+  bool isPresentSince(const Endpoint& route, TimePoint time) const;
   /** Creates the next version, with `extraRoutes` unused routes. @return its text. */
   std::string nextVersion(uint32_t extraRoutes);
   /** Records that the store accepted the newest version. */
-  void onAcknowledged(TimePoint now) { versions_.back().acknowledgedAt = now; }
+  void onAcknowledged(TimePoint now);
   /** Records the start of a new process of the node. */
   void onNodeStarted(size_t node);
 
@@ -119,6 +126,11 @@
   const DisturbanceTracker& disturbances_;
   const RouteTrackerOptions options_;
   std::vector<Version> versions_;
+  /** Routes that the next version lacks. */
+  std::set<size_t> absent_;
+  /** When the store acknowledged the version that added an earlier absent route again; the latest
+   * time while it is absent. */
+  std::map<size_t, TimePoint> presentSince_;
   std::map<size_t, ShownVersion> shownVersions_;
   std::map<uint16_t, Probe> pendingProbes_;
   std::map<size_t, uint32_t> processNumbers_;
--- a/test/soak/world/soak_caller.cc
+++ b/test/soak/world/soak_caller.cc
@@ -11,8 +11,6 @@
 constexpr std::array<Duration, 2> kOpeningRetransmissions = {std::chrono::milliseconds(200),
                                                              std::chrono::milliseconds(600)};
 constexpr Duration kOpeningTimeout = std::chrono::milliseconds(1400);
-/** Well below the maximum lifetime of a flow. */
-constexpr Duration kMaxFlowAge = std::chrono::seconds(20);
 /** A reset by the system ends an open flow if its sequence number is within this distance of the
  * last acknowledgement. */
 constexpr uint32_t kResetWindow = 76800;
@@ -44,7 +42,7 @@
   // Each try has its own id, so that its runs can be distinguished.
   pending_->request.id = (uint64_t{number_} + 1) * kRequestIdsPerCaller + ++nextRequest_;
   const bool usable =
-      phase_ == Phase::kOpen && !profile_.flowPerRequest && now - openedAt_ < kMaxFlowAge;
+      phase_ == Phase::kOpen && !profile_.flowPerRequest && now - openedAt_ < profile_.maxFlowAge;
   if (usable) {
     sendRequest(now);
     return;
@@ -129,7 +127,7 @@
   ++(bySystem ? counts_.systemResets : counts_.hostResets);
   counts_.openingsRefused += bySystem && !wasOpen ? 1 : 0;
   if (bySystem && wasOpen) {
-    hooks_.openFlowReset(flow());
+    hooks_.openFlowReset(flow(), openedAt_);
   }
   phase_ = Phase::kNone;
   stream_.reset();
--- a/test/soak/world/soak_caller.h
+++ b/test/soak/world/soak_caller.h
@@ -22,6 +22,8 @@
   bool flowPerRequest = false;
   uint32_t answerBytes = 2000;
   Duration pause = std::chrono::milliseconds(200);
+  /** Age from which a flow takes no further request; well below the maximum lifetime of a flow. */
+  Duration maxFlowAge = std::chrono::seconds(20);
   Duration deadline = std::chrono::seconds(3);
   uint32_t retries = 2;
 };
@@ -45,8 +47,8 @@
 /** Callbacks of a caller. All must be set. */
 struct CallerHooks {
   std::function<void(const std::string& packet)> send;
-  /** A reset that was not sent by a host ended an open flow. */
-  std::function<void(const FlowName& flow)> openFlowReset;
+  /** A reset that was not sent by a host ended a flow that was open since the given time. */
+  std::function<void(const FlowName& flow, TimePoint openedAt)> openFlowReset;
   /** A packet with an invalid checksum, or an answer with an unexpected id or body, arrived. */
   std::function<void(const std::string& detail)> wrongAnswer;
   /** A try ended, and the caller can conclude that it has not run and will not run. */
--- a/test/soak/world/soak_run.cc
+++ b/test/soak/world/soak_run.cc
@@ -64,12 +64,17 @@
       add(drawShortSilences(options_.seed, length));
       return;
     }
+    if (options_.day == SoakDay::kAbsences) {
+      add(drawAbsences(options_.seed, length));
+      return;
+    }
     add(drawFaults(options_.seed, length));
     if (options_.load == SoakLoad::kHard) {
       add(drawHardLoad(options_.seed, length));
       add(drawOverloadedLinks(options_.seed, length));
     }
     add(drawForeignEntries(options_.seed, length));
+    add(drawAbsences(options_.seed, length));
   }
 
   bool waitReady() {
@@ -213,6 +218,27 @@
 
 }  // namespace
 
+std::string_view toString(SoakDay day) {
+  switch (day) {
+    case SoakDay::kMixed:
+      return "mixed";
+    case SoakDay::kShortSilences:
+      return "short_silences";
+    case SoakDay::kAbsences:
+      return "absences";
+  }
+  return "unknown";
+}
+
+std::optional<SoakDay> soakDayNamed(std::string_view name) {
+  for (const SoakDay day : {SoakDay::kMixed, SoakDay::kShortSilences, SoakDay::kAbsences}) {
+    if (toString(day) == name) {
+      return day;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string_view toString(SoakError error) {
   switch (error) {
     case SoakError::kNotReady:
--- a/test/soak/world/soak_run.h
+++ b/test/soak/world/soak_run.h
@@ -21,8 +21,15 @@
   kMixed,
   /** Nothing but short silences of the store. */
   kShortSilences,
+  /** Nothing but routes that return and hosts that leave unseen. */
+  kAbsences,
 };
 
+/** @return the snake_case name of a day. */
+std::string_view toString(SoakDay day);
+/** @return the day of this name, if there is one. */
+std::optional<SoakDay> soakDayNamed(std::string_view name);
+
 struct SoakOptions {
   uint64_t seed = 1;
   /** Duration of the traffic; its last part is without faults. */
--- a/test/soak/world/soak_world.cc
+++ b/test/soak/world/soak_world.cc
@@ -16,6 +16,8 @@
 constexpr uint32_t kCallers = 90;
 /** Additional callers during a capacity shortage. */
 constexpr uint32_t kExtraCallers = 2 * kCallers;
+constexpr uint32_t kReturningRoutes = 8;
+constexpr uint32_t kCallersPerReturningRoute = 6;
 constexpr Duration kProbeInterval = std::chrono::milliseconds(40);
 constexpr uint16_t kFirstProbePort = 10000;
 constexpr uint16_t kProbePorts = 40000;
@@ -27,6 +29,7 @@
 constexpr uint16_t kConfirmPort = 8080;
 constexpr uint16_t kMapPort = 8444;
 constexpr uint16_t kSplitPort = 8445;
+constexpr uint16_t kFirstReturningPort = 8450;
 
 std::vector<CallerRoute> callerRoutes(SoakLoad load) {
   std::vector<CallerRoute> routes = {
@@ -38,6 +41,12 @@
     routes[0].priority = 1;
     routes[1].priority = 0;
   }
+  for (uint16_t number = 0; number < kReturningRoutes; ++number) {
+    const Endpoint listen{kRouteAddress, static_cast<uint16_t>(kFirstReturningPort + number)};
+    const char* const service = load == SoakLoad::kHard ? kMarkerService : "dispatch";
+    routes.push_back({"returning-" + std::to_string(number), listen, false, {{service, 1}}});
+    routes.back().returns = true;
+  }
   return routes;
 }
 
@@ -48,6 +57,11 @@
   profile.repeatable = known.repeatable;
   // Under hard load, callers with a flow per request compete with callers with long-lived flows.
   profile.flowPerRequest = load == SoakLoad::kHard && (route == 1 || route == 3);
+  if (known.returns) {
+    // Many flows are opened and in use while nodes learn of the route.
+    profile.pause = std::chrono::milliseconds(150);
+    profile.maxFlowAge = std::chrono::milliseconds(1500);
+  }
   if (route == 2) {
     profile.flowPerRequest = true;
     profile.answerBytes = 40000;
@@ -124,25 +138,38 @@
 
 void SoakWorld::makeCallers() {
   for (uint32_t number = 0; number < kCallers; ++number) {
-    addCaller(number);
+    addCaller(number, routeOfCaller(number));
   }
-  if (load_ == SoakLoad::kHard) {
-    for (uint32_t number = kCallers; number < kCallers + kExtraCallers; ++number) {
-      addCaller(number);
+  for (const size_t route : returningRoutes()) {
+    for (uint32_t count = 0; count < kCallersPerReturningRoute; ++count) {
+      addCaller(static_cast<uint32_t>(callers_.size()), route);
     }
-    setExtraCallers(false);
   }
+  firstExtraCaller_ = callers_.size();
+  for (uint32_t number = 0; load_ == SoakLoad::kHard && number < kExtraCallers; ++number) {
+    addCaller(static_cast<uint32_t>(callers_.size()), routeOfCaller(kCallers + number));
+  }
+  setExtraCallers(false);
+}
+
+std::vector<size_t> SoakWorld::returningRoutes() const {
+  std::vector<size_t> returning;
+  for (size_t route = 0; route < routes_->routes().size(); ++route) {
+    if (routes_->routes()[route].returns) {
+      returning.push_back(route);
+    }
+  }
+  return returning;
 }
 
 void SoakWorld::setExtraCallers(bool active) {
-  for (size_t number = kCallers; number < callers_.size(); ++number) {
+  for (size_t number = firstExtraCaller_; number < callers_.size(); ++number) {
     SoakCaller& caller = *callers_[number].caller;
     active ? caller.start() : caller.stop();
   }
 }
 
-void SoakWorld::addCaller(uint32_t number) {
-  const size_t route = routeOfCaller(number);
+void SoakWorld::addCaller(uint32_t number, size_t route) {
   const CallerProfile profile = profileOf(routes_->routes()[route], route, load_);
   const size_t index = callers_.size();
   CallerHooks hooks;
@@ -152,7 +179,9 @@
     const size_t node = selectNode(plan_.nodes(), *readiness_, entry.zone, flowHash(*parsed));
     sendToNode(node, entry.socket, entry.zone, packet);
   };
-  hooks.openFlowReset = [this](const FlowName& flow) { onOpenFlowReset(flow); };
+  hooks.openFlowReset = [this](const FlowName& flow, TimePoint openedAt) {
+    onOpenFlowReset(flow, openedAt);
+  };
   hooks.wrongAnswer = [this](const std::string& detail) {
     promises_.recordViolation(steadyNow(), Promise::kWholeAnswers, detail);
   };
@@ -391,11 +420,11 @@
          });
 }
 
-void SoakWorld::onOpenFlowReset(const FlowName& flow) {
+void SoakWorld::onOpenFlowReset(const FlowName& flow, TimePoint openedAt) {
   const TimePoint now = steadyNow();
   const auto holder = fleet_->holderOf(flow);
-  if (!holder) {
-    return;  // The host of the flow has ended.
+  if (!holder || !routes_->isPresentSince(flow.service, openedAt)) {
+    return;  // The host of the flow has ended, or a version dropped its route.
   }
   const std::string host = fleet_->slots()[*holder].host->plan().id;
   const std::string node = nodeNameOf(sender_);
@@ -408,6 +437,9 @@
 }
 
 void SoakWorld::onEnded(const CallerRoute& route, TimePoint startedAt, bool served) {
+  if (route.returns) {
+    return;  // Requests fail while the route is absent.
+  }
   loadWatch_.onEnded(steadyNow(), route.services.front().first, route.name, startedAt, served);
   const auto second =
       std::chrono::duration_cast<std::chrono::seconds>(startedAt - trafficStartedAt_);
--- a/test/soak/world/soak_world.h
+++ b/test/soak/world/soak_world.h
@@ -61,6 +61,8 @@
   /** @return all disturbances; unplannedDisturbances() has only the unplanned ones. */
   DisturbanceTracker& allDisturbances() { return allDisturbances_; }
   LoadWatch& loadWatch() { return loadWatch_; }
+  /** @return the indices of the routes that may be absent from the configuration. */
+  std::vector<size_t> returningRoutes() const;
   /** Starts or stops the extra callers, a multiple of the usual ones. */
   void setExtraCallers(bool active);
   DisturbanceTracker& unplannedDisturbances() { return unplannedDisturbances_; }
@@ -100,7 +102,7 @@
 
   void openHostSockets();
   void makeCallers();
-  void addCaller(uint32_t number);
+  void addCaller(uint32_t number, size_t route);
   HostHooks makeHostHooks(size_t slot);
   void onHostDatagram(size_t slot, const Endpoint& from, std::string_view bytes);
   /** @return whether an overloaded link loses a datagram from the node to a host. */
@@ -109,7 +111,7 @@
   void onProbeDatagram(std::string_view bytes);
   void onHostOpening(size_t slot, const FlowName& flow, const Endpoint& node);
   void onHostRun(size_t slot, const FlowName& flow, const Request& request);
-  void onOpenFlowReset(const FlowName& flow);
+  void onOpenFlowReset(const FlowName& flow, TimePoint openedAt);
   void onRejected(size_t slot, const Request& request);
   void onEnded(const CallerRoute& route, TimePoint startedAt, bool served);
   bool areAllSettled(TimePoint now) const;
@@ -154,6 +156,8 @@
   std::unique_ptr<ReadinessWatch> readiness_;
   std::vector<standins::SocketIndex> hostSockets_;
   std::vector<CallerEntry> callers_;
+  /** Index of the first caller that setExtraCallers() starts and stops. */
+  size_t firstExtraCaller_ = 0;
   standins::SocketIndex probeSocket_ = 0;
   uint16_t probePortOffset_ = 0;
   TimePoint nextProbe_{};
