--- a/source/common/flow/flow_director.h
+++ b/source/common/flow/flow_director.h
@@ -116,9 +116,9 @@
   kHostSilent,
   /** The hosts are busy, and the opening has reached its maximum wait. */
   kHostsBusy,
-  /** No service listens on the address, as far as this node ever knew. */
+  /** No service listens on the address. */
   kUnknownService,
-  /** The service that listened on the address was removed. */
+  /** The flow was open, and the service that listened on its address was removed. */
   kServiceRemoved,
   kCount,
 };
