Let the sabotage that starves a route take one whose requests are judged

Change: it takes the last route that does not return, as before. Conclusion: a fault of the soak's new part; no check is changed.

--- a/test/soak/world/fault_plan.cc
+++ b/test/soak/world/fault_plan.cc
@@ -211,7 +211,7 @@
 std::vector<Fault> drawAbsences(uint64_t seed, Duration length) {
   RandomSource random(mixHash(seed, kAbsenceStream));
   std::vector<Fault> faults;
-  Duration at = secondsOf(drawBetween(random, 0, kMinAbsenceGapSeconds));
+  Duration at = secondsOf(drawBetween(random, kMinAbsenceGapSeconds, kMaxAbsenceGapSeconds));
   while (at < length) {
     constexpr auto kFirst = static_cast<uint64_t>(FaultKind::kRoutesReturn);
     constexpr uint64_t kKinds = static_cast<uint64_t>(FaultKind::kCount) - kFirst;
--- a/test/soak/world/soak_world.h
+++ b/test/soak/world/soak_world.h
@@ -128,6 +128,8 @@
   bool redirect(size_t slot, const Endpoint& from, std::string_view bytes,
                 const EchoPacket& packet);
   std::vector<size_t> redirectionTargets(size_t slot) const;
+  /** @return the route whose openings Sabotage::kIgnoresRoom loses. */
+  const CallerRoute& starvedRoute() const;
   std::string sabotageToCaller(const std::string& packet);
   void sendSystemReset(const EchoPacket& packet);
   /** @return true with the probability `share`. */
--- a/test/soak/world/soak_world_sabotage.cc
+++ b/test/soak/world/soak_world_sabotage.cc
@@ -1,5 +1,7 @@
 /** @file Simulates faulty system behaviour between the nodes and the other components. */
+#include <algorithm>
 #include "common/platform/steady_now.h"
+
 #include "test/soak/world/soak_world.h"
 
 namespace umberhold::soak {
@@ -21,6 +23,13 @@
 
 }  // namespace
 
+const CallerRoute& SoakWorld::starvedRoute() const {
+  // Requests of routes that return are not judged.
+  const std::vector<CallerRoute>& routes = routes_->routes();
+  return *std::find_if(routes.rbegin(), routes.rend(),
+                       [](const CallerRoute& route) { return !route.returns; });
+}
+
 bool SoakWorld::sabotageToHost(size_t slot, const Endpoint& from, std::string_view bytes) {
   const auto packet =
       bytes.size() < kIncarnationBytes ? std::nullopt : decode(bytes.substr(kIncarnationBytes));
@@ -29,7 +38,7 @@
   }
   const bool marker = RouteTracker::isMarker({packet->target, packet->targetPort});
   if (sabotage_ == Sabotage::kIgnoresRoom &&
-      flowOfCaller(*packet).service == routes_->routes().back().listen) {
+      flowOfCaller(*packet).service == starvedRoute().listen) {
     return true;
   }
   if (sabotage_ == Sabotage::kOldConfiguration && marker && drawShare(kFrequentShare)) {
